--- /dev/null
+++ b/benchwire/facts.go
@@ -0,0 +1,119 @@
+package benchwire
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"rowanlink/gateway"
+)
+
+// pairs reads path=value settings. Unknown keys are never looked at; the first bad value is kept in err.
+type pairs struct {
+	values map[string]string
+	err    error
+}
+
+func readPairs(text string) *pairs {
+	p := &pairs{values: map[string]string{}}
+	for line := range strings.Lines(text) {
+		if key, value, ok := strings.Cut(strings.TrimRight(line, "\r\n"), "="); ok {
+			p.values[key] = value
+		}
+	}
+	return p
+}
+
+func (p *pairs) number(key string) float64 {
+	text := p.values[key]
+	if text == "" {
+		return 0
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if p.err == nil && (err != nil || math.IsNaN(v) || math.IsInf(v, 0) || math.Abs(v) > 1<<62) {
+		p.err = fmt.Errorf("setting %s: %q is not a usable number", key, text)
+	}
+	return v
+}
+
+func (p *pairs) count(key string) int { return int(max(0, min(p.number(key), 1<<31))) }
+
+func (p *pairs) flag(key string) bool { return p.values[key] == "true" }
+
+// under and atLeast turn nanoseconds into whole microseconds, rounded the way that keeps the rule.
+func (p *pairs) under(key string) gateway.Micros {
+	return gateway.Micros(math.Floor(p.number(key) / 1000))
+}
+
+func (p *pairs) atLeast(key string) gateway.Micros {
+	return gateway.Micros(math.Ceil(p.number(key) / 1000))
+}
+
+func (p *pairs) list(key string) []string {
+	if p.values[key] == "" {
+		return nil
+	}
+	return strings.Split(p.values[key], ",")
+}
+
+// entries tells how many objects a list holds; no list is longer than the settings have lines.
+func (p *pairs) entries(key string) int {
+	return min(p.count(key+".count"), len(p.values))
+}
+
+// readFacts puts the bench's settings into our words.
+func readFacts(seed uint64, text string) (gateway.Facts, error) {
+	p := readPairs(text)
+	f := gateway.Facts{
+		Seed: seed, Fleet: p.count("fleetSize"), Zone: gateway.ZoneID(p.count("zone")),
+		OverShare: p.number("overShareWorth"),
+		Slots:     p.count("familyInfo.slots"), Buffer: p.count("limits.openCap"),
+		MaxAttempts: p.count("limits.maxAttempts"), MayProbe: p.flag("limits.mayProbe"),
+		RatesStated:    p.values["weightSource"] == "nominal" || p.values["weightSource"] == "rough",
+		ConnectTimeout: p.under("limits.connectTimeout"), Tick: p.atLeast("period"),
+		TurnGap: p.atLeast("rules.turnGap"), StartCapacity: p.number("rules.startCapacity"),
+		WarmAfter: p.atLeast("rules.warmAfter"), FallMultiple: p.number("rules.fallMultiple"),
+		TipAfter: p.atLeast("rules.tipAfter"),
+	}
+	if p.flag("limits.retryAfter") {
+		f.MaxAdvice = p.under("limits.maxRetryAfter")
+	}
+	batches, apart := p.list("familyInfo.batchByKind"), p.list("familyInfo.kindApart")
+	for i := range p.list("kinds") {
+		k := gateway.Kind{Batch: 1}
+		if i < len(batches) {
+			if n, err := strconv.Atoi(batches[i]); err == nil && n > 1 {
+				k.Batch = n
+			}
+		}
+		k.Apart = i < len(apart) && apart[i] == "true"
+		f.Kinds = append(f.Kinds, k)
+	}
+	for i := range p.entries("tenants") {
+		f.Tenants = append(f.Tenants, p.number(fmt.Sprintf("tenants.%d.allowancePerS", i)))
+	}
+	for i := range p.entries("classes") {
+		at := fmt.Sprintf("classes.%d.", i)
+		t := gateway.EventType{
+			Target: p.under(at + "aim"), TTL: p.under(at + "deadline"), Value: p.number(at + "worth"),
+			LateValue: p.number(at + "lateValue"), TokenWindow: p.under(at + "window"),
+			TokenByZone: p.values[at+"group"] != "all", Ordered: p.flag(at + "oneAtATime"),
+		}
+		switch p.values[at+"repeat"] {
+		case "token":
+			t.Repeat = gateway.Tokened
+		case "side_effect":
+			t.Repeat = gateway.AtMostOnce
+		case "pure":
+			t.Repeat = gateway.Idempotent
+		default:
+			return f, fmt.Errorf("setting %srepeat: %q is unknown", at, p.values[at+"repeat"])
+		}
+		f.EventTypes = append(f.EventTypes, t)
+	}
+	if p.err == nil && len(f.EventTypes) == 0 {
+		p.err = fmt.Errorf("settings name no class")
+	}
+	return f, p.err
+}
--- /dev/null
+++ b/cmd/benchlink/main.go
@@ -0,0 +1,19 @@
+// Command benchlink runs the decision module on the bench's wire, standard input to standard output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"rowanlink/benchwire"
+	"rowanlink/control"
+	"rowanlink/gateway"
+)
+
+func main() {
+	start := func(f gateway.Facts, h gateway.Host) gateway.Module { return control.New(f, h) }
+	if err := benchwire.Serve(os.Stdin, os.Stdout, start); err != nil {
+		fmt.Fprintln(os.Stderr, "benchlink:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,779 @@
+// Package control is the decision module: every decision, table and tuned value of rowanlink is in this file.
+//
+// Callers make one instance a dispatcher with New and then call it, turn by turn, through gateway.Module: the
+// endpoint list, webhooks taken, outcomes, probe results, withdrawals and wakes, and TurnOver when all that has
+// come in at one moment was told. It acts through gateway.Host; both are defined in gateway/gateway.go, the
+// records that it keeps in control/state.go. Nothing is shared between instances.
+//
+// A webhook passes a chain of stages - expiry, order, schedule, slots, route, endpoint, send - each of which
+// passes it on, holds it until a later turn, or ends it. An outcome runs back through them from the last.
+// docs/design.md tells stage by stage what is the design's and what is an exception, and when that acts.
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"rowanlink/gateway"
+	"rowanlink/internal/due"
+	"rowanlink/internal/mwc"
+)
+
+// The tuned values. All are ratios; docs/design.md tells what each trades and how flat the result is around it.
+const (
+	fullShare  = 0.75 // of the slots, to one route
+	sickShare  = 0.5  // of the slots, to one route that is failing or slow, and to all sick ones together
+	capShare   = 0.25 // m, as a share of the tightest of TTL and token window
+	lateFrom   = 0.8  // the late band starts at this share of m
+	patienceBy = 6.0  // patience over the smoothed answer time
+	silentBy   = 4.0  // a route with calls out that says nothing for so many answer times is silent
+	slowBy     = 3.0  // a route is slow when its answers take so many times the usual
+	smooth     = 1.0 / 8
+	paceCut    = 0.8  // pace after a refusal
+	paceStep   = 0.03 // pace regained by a success, of the stated rate
+	paceTop    = 4.0  // most pace, over the stated rate
+	paceLeast  = 1.0 / 8
+	burstSpan  = 0.5 // seconds of pace that may be sent at once
+	sickRow    = 3   // failures in a row that make a route or endpoint sick
+	fullRow    = 6   // refusals in a row that do
+	sickAt     = 0.5 // share of failed calls that does
+	canaryBy   = 0.1 // pause between canaries, over the time to warm
+	coldPart   = 0.5 // of the budget of a cold route that is used
+	fillTo     = 0.9 // of the buffer
+	overBurst  = 2.0 // seconds of a tenant's share that may come at once
+)
+
+// Timers of an instance: one for periodic work, one for the earliest due time.
+const (
+	timerPeriod gateway.TimerID = iota
+	timerDue
+)
+
+// eventRow is what the module reads of an event type: a row of the one table in which event types differ.
+type eventRow struct {
+	gateway.EventType
+	cap   float64        // m, in seconds
+	early int            // last retry of the early band
+	reach gateway.Micros // longest patience
+}
+
+type verdict int
+
+const (
+	pass verdict = iota
+	hold
+	end
+)
+
+// Control decides for one dispatcher.
+type Control struct {
+	gateway.Facts
+	host      gateway.Host
+	chance    *mwc.Source
+	events    []eventRow
+	tenants   []tenant
+	now       gateway.Micros
+	turn      int
+	held      map[gateway.WebhookID]*webhook
+	open      int // webhooks that are owed an answer
+	out       int // calls out
+	sickOut   int // of them, to sick routes
+	dests     map[gateway.DestinationID]*destination
+	order     []*destination // all of them, as first heard of
+	endpoints map[gateway.EndpointID]*endpoint
+	turns     map[gateway.Key]*turn
+	dues      due.Times[*webhook] // nil stands for a route that opens
+	armed     gateway.Micros
+	mean      float64 // answer time in µs over all routes, smoothed
+	shedding  bool
+	stages    []func(*webhook) verdict
+	pick      *endpoint // the endpoint stage's choice for the send stage
+	ready     []*webhook
+}
+
+// New starts a dispatcher that knows nothing but the facts. Facts left out are made harmless.
+func New(f gateway.Facts, host gateway.Host) *Control {
+	f.Fleet, f.Slots, f.Buffer = max(f.Fleet, 1), max(f.Slots, 1), max(f.Buffer, 1)
+	f.MaxAttempts, f.Tick = max(f.MaxAttempts, 1), max(f.Tick, 1)
+	f.WarmAfter, f.TipAfter = max(f.WarmAfter, gateway.Second), max(f.TipAfter, gateway.Second)
+	if f.StartCapacity <= 0 || f.FallMultiple <= 0 {
+		f.StartCapacity, f.FallMultiple = 0.1, 1
+	}
+	c := &Control{Facts: f, host: host, chance: mwc.New(f.Seed), now: host.Now(), armed: math.MaxInt64,
+		held:      map[gateway.WebhookID]*webhook{},
+		dests:     map[gateway.DestinationID]*destination{},
+		endpoints: map[gateway.EndpointID]*endpoint{}, turns: map[gateway.Key]*turn{}}
+	for _, t := range f.EventTypes {
+		row := eventRow{EventType: t}
+		tightest := t.TTL
+		if t.Repeat == gateway.Tokened {
+			tightest = min(tightest, t.TokenWindow)
+		}
+		row.cap = capShare * float64(tightest) / float64(gateway.Second)
+		row.early = int(math.Floor(2 * math.Log2(max(row.cap, 0.5))))
+		row.reach = max(tightest/2, 1)
+		c.events = append(c.events, row)
+	}
+	for _, perS := range f.Tenants {
+		perS /= float64(f.Fleet)
+		c.tenants = append(c.tenants, tenant{perS: perS, level: perS * overBurst, at: c.now})
+	}
+	c.stages = []func(*webhook) verdict{c.expiry, c.inTurn, c.schedule, c.slots, c.routeOpen, c.choose, c.send}
+	host.Wake(gateway.Second/2, timerPeriod)
+	return c
+}
+
+// Endpoints takes a list: the whole of it, or what has changed.
+func (c *Control) Endpoints(list []gateway.Entry, whole bool) {
+	c.now = c.host.Now()
+	if whole {
+		for _, d := range c.order {
+			for _, e := range d.endpoints {
+				e.listed = false
+			}
+		}
+	}
+	for _, l := range list {
+		d, e := c.destination(l.Destination), c.endpoints[l.Endpoint]
+		if int(l.Kind) < len(c.Kinds) {
+			d.batch, d.apart = max(c.Kinds[l.Kind].Batch, 1), c.Kinds[l.Kind].Apart
+		}
+		if e == nil {
+			e = &endpoint{id: l.Endpoint, zone: l.Zone, dest: d}
+			c.endpoints[l.Endpoint] = e
+			if e.route = d.shared; d.apart {
+				e.route = c.newRoute()
+			}
+			e.route.name = e.id
+		}
+		if l.Standing == gateway.Listed && !slices.Contains(d.endpoints, e) {
+			d.endpoints = append(d.endpoints, e)
+		}
+		e.listed = l.Standing == gateway.Listed
+		if c.RatesStated && l.Rate > 0 && !math.IsInf(l.Rate, 0) {
+			if r := e.route; r.stated != l.Rate/float64(c.Fleet) {
+				r.stated = l.Rate / float64(c.Fleet)
+				r.pace = r.stated
+			}
+		}
+	}
+	for _, d := range c.order {
+		d.endpoints = slices.DeleteFunc(d.endpoints, func(e *endpoint) bool { return !e.listed })
+		c.rank(d)
+	}
+}
+
+func (c *Control) newRoute() *route {
+	// Where no rate is stated, the slots of the whole fleet, each used once a second, stand in for one.
+	perS := float64(c.Slots)
+	return &route{window: 1, stated: perS, pace: perS, tokens: 1, tokensAt: c.now, coldSince: never}
+}
+
+func (c *Control) destination(id gateway.DestinationID) *destination {
+	d := c.dests[id]
+	if d == nil {
+		d = &destination{id: id, batch: 1, shared: c.newRoute()}
+		c.dests[id] = d
+		c.order = append(c.order, d)
+	}
+	return d
+}
+
+// Take takes on a webhook. From here on it is owed exactly one final answer before its TTL.
+func (c *Control) Take(id gateway.WebhookID, evt gateway.EventTypeID, tenant gateway.TenantID, key gateway.Key,
+	ttl gateway.Micros, dest gateway.DestinationID) {
+	c.now = c.host.Now()
+	row := &c.events[min(int(evt), len(c.events)-1)]
+	w := &webhook{id: id, evt: row, dest: c.destination(dest), key: key, ttl: ttl, readyAt: c.now, mayRun: never}
+	w.target = ttl - row.TTL + row.Target
+	w.over = c.overShare(tenant)
+	c.held[id] = w
+	c.open++
+	if row.Ordered && key != 0 {
+		if c.turns[key] == nil {
+			c.turns[key] = &turn{restUntil: never}
+		}
+		c.turns[key].line = append(c.turns[key].line, w)
+	}
+	c.dues.Add(int64(c.lastAnswer(w)), w)
+	c.enqueue(w)
+}
+
+// overShare meters a tenant's webhooks: what comes beyond its share earns little, whatever is done with it.
+func (c *Control) overShare(id gateway.TenantID) bool {
+	if int(id) >= len(c.tenants) {
+		return false
+	}
+	t := &c.tenants[id]
+	t.level = min(t.level+t.perS*seconds(c.now-t.at), t.perS*overBurst)
+	t.at = c.now
+	if t.level < 1 {
+		return true
+	}
+	t.level--
+	return false
+}
+
+func (c *Control) enqueue(w *webhook) {
+	w.queued = true
+	w.dest.queue = append(w.dest.queue, w)
+}
+
+// lastAnswer is when a webhook that is not out must have its answer: a tick to spare before the TTL.
+func (c *Control) lastAnswer(w *webhook) gateway.Micros { return w.ttl - 2*c.Tick }
+
+// lastSend is the last moment at which an attempt may be sent: in time for an answer and, where the webhook may
+// have run, inside the time for which the destination remembers its token.
+func (c *Control) lastSend(w *webhook) gateway.Micros {
+	last := c.lastAnswer(w)
+	if w.mayRun != never && w.evt.Repeat == gateway.Tokened {
+		last = min(last, w.mayRun+w.evt.TokenWindow-2*c.Tick)
+	}
+	return last
+}
+
+// TurnOver sends what may go now.
+func (c *Control) TurnOver() {
+	c.now = c.host.Now()
+	c.turn++
+	for {
+		w, ok := c.dues.Take(int64(c.now))
+		if !ok {
+			break
+		}
+		// Guards against a webhook lost: whatever holds it, it ends when it can no longer be sent.
+		if w != nil && !w.ended && w.call == nil && c.now >= c.lastSend(w) {
+			c.finish(w)
+		}
+	}
+	c.shed()
+	c.ready = c.ready[:0]
+	for _, d := range c.order {
+		if len(d.queue) == 0 || !slices.ContainsFunc(d.endpoints, func(e *endpoint) bool { return c.opens(e.route) }) {
+			continue
+		}
+		for _, w := range d.queue {
+			if w.queued && w.readyAt <= c.now {
+				c.ready = append(c.ready, w)
+			}
+		}
+	}
+	slices.SortStableFunc(c.ready, c.before)
+	for _, w := range c.ready {
+		for _, s := range c.stages {
+			v := s(w)
+			if v == end {
+				c.finish(w)
+			}
+			if v != pass {
+				break
+			}
+		}
+	}
+	for _, d := range c.order { // now, so that one sent and back before the next turn does not stand here twice
+		d.queue = slices.DeleteFunc(d.queue, func(w *webhook) bool { return !w.queued })
+	}
+	if at, ok := c.dues.Next(); ok && gateway.Micros(at) < c.armed {
+		c.armed = gateway.Micros(at)
+		c.host.Wake(max(c.armed-c.now, 1), timerDue)
+	}
+}
+
+// before ranks webhooks by the value still to be had. Those inside their tenant's share come first; then those
+// that can still make the target latency, the nearest to missing it first; then the late ones, the youngest
+// first: all lose value alike, so that what can't all be delivered in time is given up from the oldest on.
+func (c *Control) before(a, b *webhook) int {
+	tier := func(w *webhook) int {
+		t := 0
+		if c.late(w) {
+			t = 1
+		}
+		if w.over {
+			t += 2
+		}
+		return t
+	}
+	ta, tb := tier(a), tier(b)
+	if ta != tb {
+		return ta - tb
+	}
+	if ta&1 == 1 {
+		return cmp.Compare(b.target, a.target)
+	}
+	return cmp.Compare(a.target, b.target)
+}
+
+func (c *Control) late(w *webhook) bool {
+	return c.now+gateway.Micros(w.dest.shared.mean) > w.target
+}
+
+// expiry ends what can no longer be delivered.
+func (c *Control) expiry(w *webhook) verdict {
+	if c.now >= c.lastSend(w) {
+		return end
+	}
+	return pass
+}
+
+// inTurn holds an ordered webhook until every earlier one of its key is over and has no attempt out, and the key
+// has rested after one that may still run.
+func (c *Control) inTurn(w *webhook) verdict {
+	if !w.evt.Ordered || w.key == 0 {
+		return pass
+	}
+	t := c.turns[w.key]
+	if t.line[0] != w {
+		return hold
+	}
+	if w.attempts == 0 && c.now < t.restUntil {
+		c.dues.Add(int64(t.restUntil), nil)
+		return hold
+	}
+	return pass
+}
+
+// schedule holds a webhook to its own wait and ends one that has no attempt left.
+func (c *Control) schedule(w *webhook) verdict {
+	if w.readyAt > c.now {
+		return hold
+	}
+	if w.attempts >= c.MaxAttempts {
+		return end
+	}
+	return pass
+}
+
+// slots counts own calls exactly, so that none comes back unsent. A call of this turn with room needs no slot.
+func (c *Control) slots(w *webhook) verdict {
+	if c.out < c.Slots || c.joinable(w) != nil {
+		return pass
+	}
+	return hold
+}
+
+func (c *Control) joinable(w *webhook) *endpoint {
+	for _, e := range w.dest.endpoints {
+		if k := e.open; k != nil && k.turn == c.turn && k.left < w.dest.batch && c.inZone(w, e) {
+			return e
+		}
+	}
+	return nil
+}
+
+// inZone guards against a second effect: where only a zone shares what it remembers of a token, a webhook that
+// may have run stays in it.
+func (c *Control) inZone(w *webhook, e *endpoint) bool {
+	return w.mayRun == never || w.evt.Repeat != gateway.Tokened || !w.evt.TokenByZone || w.zone == e.zone
+}
+
+// routeOpen holds a webhook while no route of its destination is open.
+func (c *Control) routeOpen(w *webhook) verdict {
+	if c.joinable(w) != nil || slices.ContainsFunc(w.dest.endpoints, func(e *endpoint) bool { return c.opens(e.route) }) {
+		return pass
+	}
+	return hold
+}
+
+// opens tells whether a route takes one more call now, and sees to a wake when it will.
+func (c *Control) opens(r *route) bool {
+	if c.now < r.waitUntil { // a told wait holds every send, whatever the webhook
+		c.wakeFor(r, r.waitUntil)
+		return false
+	}
+	if r.sick {
+		// One canary at a time; all sick routes together hold a bounded part of the slots.
+		if r.out > 0 || r.probing || c.sickOut >= max(int(sickShare*float64(c.Slots)), 1) {
+			return false
+		}
+		if c.now < r.tryAt {
+			c.wakeFor(r, r.tryAt)
+			return false
+		}
+		return true
+	}
+	if r.out >= c.bound(r) || c.silent(r) {
+		return false
+	}
+	rate, depth := c.rate(r)
+	r.tokens = min(r.tokens+rate*seconds(c.now-r.tokensAt), depth)
+	r.tokensAt = c.now
+	if r.tokens < 1 {
+		c.wakeFor(r, c.now+gateway.Micros(math.Ceil((1-r.tokens)/rate*float64(gateway.Second))))
+		return false
+	}
+	return true
+}
+
+func (c *Control) wakeFor(r *route, at gateway.Micros) {
+	if r.wakeAt != at {
+		r.wakeAt = at
+		c.dues.Add(int64(at), nil)
+	}
+}
+
+// rate is how many calls a second a route is let, and how many may go at once. After an outage it is this
+// dispatcher's part of what may be sent without pushing the destination over, growing as that warms.
+func (c *Control) rate(r *route) (rate, depth float64) {
+	if r.coldSince == never {
+		return r.pace, max(r.pace*burstSpan, 1)
+	}
+	warm := min(seconds(c.now-r.coldSince)/seconds(c.WarmAfter), 1)
+	share := c.StartCapacity + (1-c.StartCapacity)*warm
+	return min(r.pace, coldPart*c.FallMultiple*share*r.stated), 1
+}
+
+// bound is how many calls a route may have out: its window, up to a share of the slots.
+func (c *Control) bound(r *route) int {
+	share := fullShare
+	if r.failing > sickAt/2 || r.mean > slowBy*c.mean {
+		share = sickShare
+	}
+	return max(int(min(r.window, share*float64(c.Slots))), 1)
+}
+
+// silent guards the slots against a route that hangs, before the first time-out tells of it. It also covers short
+// stalls, where a call sent now would only queue. It could hold back a route whose answers vary widely, which
+// is why it takes two calls out.
+func (c *Control) silent(r *route) bool {
+	return r.out >= 2 && r.mean > 0 && float64(c.now-r.heardAt) > silentBy*r.mean
+}
+
+// choose takes the first endpoint of the ranked order that has room.
+func (c *Control) choose(w *webhook) verdict {
+	if c.pick = c.joinable(w); c.pick != nil {
+		return pass
+	}
+	each := math.Ceil(float64(c.Slots) * fullShare)
+	if n := len(w.dest.endpoints); n > 1 && !w.dest.apart {
+		each = math.Ceil(float64(c.bound(w.dest.shared)) / float64(n))
+	}
+	for _, e := range w.dest.endpoints {
+		if e.out >= int(each) || e.limit > 0 && e.out >= e.limit || !c.inZone(w, e) || !c.opens(e.route) {
+			continue
+		}
+		if e.fails >= sickRow && !e.route.sick && (c.now < e.tryAt || e.out > 0) {
+			continue // one endpoint is sick among well ones: a single call now and then
+		}
+		c.pick = e
+		return pass
+	}
+	return hold
+}
+
+// send is the end of the chain.
+func (c *Control) send(w *webhook) verdict {
+	e := c.pick
+	r := e.route
+	if k := e.open; k == nil || k.turn != c.turn || k.left >= w.dest.batch {
+		e.open = &call{ep: e, turn: c.turn, sick: r.sick}
+		if r.out == 0 {
+			r.heardAt = c.now
+		}
+		c.out++
+		r.out++
+		e.out++
+		r.tokens--
+		if r.sick {
+			c.sickOut++
+		}
+		if r.sick || e.fails >= sickRow {
+			e.tryAt = c.now + c.canaryPause()
+			r.tryAt = max(r.tryAt, e.tryAt)
+		}
+	}
+	w.call = e.open
+	w.call.left++
+	if w.call.sick {
+		e.open = nil // a canary goes alone
+	}
+	w.queued = false
+	w.attempts++
+	w.sentAt = c.now
+	c.host.Attempt(w.id, e.id, c.patience(w, e))
+	return pass
+}
+
+func (c *Control) canaryPause() gateway.Micros {
+	return gateway.Micros(canaryBy * float64(c.WarmAfter) * (1 + c.chance.Float()) / 1.5)
+}
+
+// patience leaves a slow answer its time; a time-out makes work that may still run and cost the webhook.
+func (c *Control) patience(w *webhook, e *endpoint) gateway.Micros {
+	p := w.evt.Target
+	if e.mean > 0 {
+		p = max(gateway.Micros(patienceBy*e.mean), w.evt.Target/2)
+	}
+	return max(min(p, w.evt.reach, w.ttl-c.now), 1)
+}
+
+// Outcome takes what came of an attempt, back through the stages from the last.
+func (c *Control) Outcome(id gateway.WebhookID, ep gateway.EndpointID, what gateway.Outcome,
+	took gateway.Micros, ended bool, wait gateway.Micros) {
+	c.now = c.host.Now()
+	w := c.held[id]
+	if w == nil || w.call == nil {
+		return
+	}
+	k := w.call
+	w.call = nil
+	if !k.judged {
+		k.judged = true
+		c.judge(k.ep, what, took, wait)
+	}
+	if k.left--; k.left == 0 {
+		c.out--
+		k.ep.out--
+		k.ep.route.out--
+		if k.sick {
+			c.sickOut--
+		}
+	}
+	if !what.NeverRan() && w.mayRun == never {
+		w.mayRun, w.zone = w.sentAt, k.ep.zone
+	}
+	if t := c.turns[w.key]; t != nil && w.evt.Ordered && what.MayStillRun() {
+		t.restUntil = max(t.restUntil, c.now+c.TurnGap)
+	}
+	if ended || w.ended {
+		c.forget(w)
+		return
+	}
+	c.retry(w, what)
+}
+
+// retry draws the wait before the next attempt, or ends a webhook that may not have one.
+func (c *Control) retry(w *webhook, what gateway.Outcome) {
+	if w.evt.Repeat == gateway.AtMostOnce && w.mayRun != never || w.attempts >= c.MaxAttempts {
+		c.finish(w)
+		return
+	}
+	w.readyAt = c.now + c.delay(w.evt, w.retries)
+	w.retries++
+	if max(w.readyAt, w.dest.shared.waitUntil) >= c.lastSend(w) {
+		c.finish(w)
+		return
+	}
+	c.dues.Add(int64(w.readyAt), w)
+	c.dues.Add(int64(c.lastSend(w)), w)
+	c.enqueue(w)
+}
+
+// delay is the design's schedule: min(m, random()*2^i) while i <= 2*log2(m), then evenly 80-100% of m. Past that
+// i the power is never taken, so that no number of retries overflows.
+func (c *Control) delay(evt *eventRow, i int) gateway.Micros {
+	x := c.chance.Float()
+	s := evt.cap * (lateFrom + (1-lateFrom)*x)
+	if i <= evt.early {
+		s = min(evt.cap, x*math.Pow(2, float64(i)))
+	}
+	return gateway.Micros(math.Ceil(s * float64(gateway.Second)))
+}
+
+// finish gives the final answer at once: a rejection where no attempt may have run, with a time to come back,
+// else a dead letter.
+func (c *Control) finish(w *webhook) {
+	if w.mayRun == never {
+		c.host.Reject(w.id, min(max(w.dest.shared.waitUntil-c.now, 0), c.MaxAdvice))
+	} else {
+		c.host.DeadLetter(w.id)
+	}
+	c.forget(w)
+}
+
+// forget drops a webhook that is over; one with an attempt out is kept for the outcome.
+func (c *Control) forget(w *webhook) {
+	if !w.ended {
+		w.ended = true
+		c.open--
+	}
+	w.queued = false
+	if w.call != nil {
+		return
+	}
+	delete(c.held, w.id)
+	if t := c.turns[w.key]; t != nil && w.evt.Ordered {
+		t.line = slices.DeleteFunc(t.line, func(o *webhook) bool { return o == w })
+		if len(t.line) == 0 && c.now >= t.restUntil {
+			delete(c.turns, w.key)
+		}
+	}
+}
+
+// Withdrawn is told when nobody wants a webhook any more; an attempt that is out runs on.
+func (c *Control) Withdrawn(id gateway.WebhookID) {
+	c.now = c.host.Now()
+	if w := c.held[id]; w != nil {
+		c.forget(w)
+	}
+}
+
+// judge counts the fate of a call, once for all the webhooks in it.
+func (c *Control) judge(e *endpoint, what gateway.Outcome, took, wait gateway.Micros) {
+	r := e.route
+	r.heardAt = c.now
+	switch what {
+	case gateway.Delivered:
+		e.mean, r.mean, c.mean = blend(e.mean, took), blend(r.mean, took), blend(c.mean, took)
+		e.fails, r.fails, r.refused = 0, 0, 0
+		e.okAt = c.now
+		r.failing -= smooth * r.failing
+		r.window = min(r.window+1, fullShare*float64(c.Slots))
+		r.pace = min(r.pace+paceStep*r.stated, paceTop*r.stated)
+		c.recover(r)
+	case gateway.Full:
+		r.window = max(r.window/2, 1)
+		r.refused++
+		r.waitUntil = max(r.waitUntil, c.roundUp(wait))
+		// Guards against refusals that use up the limit: no other webhook follows at once, and the pace falls.
+		r.tokens = min(r.tokens, 0)
+		if c.now-r.cutAt > gateway.Second/2 {
+			r.cutAt = c.now
+			r.pace = max(r.pace*paceCut, r.stated*paceLeast)
+		}
+		// Shut and limited look alike but for length: a wait longer than a cold destination would need to
+		// fall, or refusals and nothing else for a while, is taken for an outage.
+		if wait > c.TipAfter || r.refused >= fullRow {
+			c.sicken(r)
+		}
+	case gateway.NotSent, gateway.Cancelled:
+	default:
+		if what == gateway.ConnectFailed && e.out > 1 && c.now-e.okAt < 2*c.ConnectTimeout {
+			e.limit = e.out - 1 // a connection cap, not an outage: calls succeed beside it
+			return
+		}
+		if what == gateway.TimedOut {
+			r.window = max(r.window/2, 1)
+			e.mean, r.mean = blend(e.mean, took), blend(r.mean, took)
+		}
+		e.fails++
+		r.fails++
+		r.failing += smooth * (1 - r.failing)
+		if r.coldSince != never {
+			r.coldSince = c.now
+		}
+		if e.fails >= sickRow {
+			e.tryAt = c.now + c.canaryPause()
+		}
+		if r.fails >= sickRow || r.failing > sickAt {
+			c.sicken(r)
+		}
+	}
+}
+
+// roundUp turns a told wait into the time when it is over, rounded so that the wait holds.
+func (c *Control) roundUp(wait gateway.Micros) gateway.Micros {
+	if wait <= 0 {
+		return 0
+	}
+	return c.now + wait + 1
+}
+
+// sicken closes a route but for canaries. It covers whatever makes calls fail in a row: crashed, shut, hung or
+// failing destinations. It could do harm where failures cluster by chance; a canary's success ends it.
+func (c *Control) sicken(r *route) {
+	r.window = 1
+	r.tryAt = max(r.tryAt, c.now+c.canaryPause())
+	if !r.sick {
+		r.sick = true
+		c.host.Log(fmt.Sprintf("endpoint %d: destination sick", r.name))
+	}
+}
+
+// recover lets a sick route out into the cold: it grows from a canary to its full pace as a returning
+// destination warms, and is well when that time has passed.
+func (c *Control) recover(r *route) {
+	if r.sick {
+		r.sick, r.coldSince = false, c.now
+		r.failing = min(r.failing, sickAt/2)
+		r.tokens = 0
+		c.host.Log(fmt.Sprintf("endpoint %d: destination cold", r.name))
+	}
+	if r.coldSince != never && c.now-r.coldSince > c.WarmAfter {
+		r.coldSince = never
+		c.host.Log(fmt.Sprintf("endpoint %d: destination well", r.name))
+	}
+}
+
+// Probed takes the result of a probe.
+func (c *Control) Probed(ep gateway.EndpointID, what gateway.Outcome, took gateway.Micros) {
+	c.now = c.host.Now()
+	if e := c.endpoints[ep]; e != nil {
+		e.route.probing = false
+		if what == gateway.Delivered && e.route.sick {
+			e.route.fails, e.route.refused, e.fails = 0, 0, 0
+			c.recover(e.route)
+		}
+	}
+}
+
+// Wake is told when a timer is due.
+func (c *Control) Wake(timer gateway.TimerID) {
+	c.now = c.host.Now()
+	if timer == timerDue {
+		if c.now >= c.armed {
+			c.armed = math.MaxInt64
+		}
+		return
+	}
+	c.host.Wake(gateway.Second/2, timerPeriod)
+	for _, d := range c.order {
+		c.rank(d)
+	}
+}
+
+// rank renews the order in which a destination's endpoints are filled: the quickest first, near ones before far.
+func (c *Control) rank(d *destination) {
+	score := func(e *endpoint) float64 {
+		s := e.mean
+		if e.zone != c.Zone {
+			s *= 1.2
+		}
+		return s
+	}
+	slices.SortStableFunc(d.endpoints, func(a, b *endpoint) int { return cmp.Compare(score(a), score(b)) })
+}
+
+// shed keeps the buffer from filling up: past its share the webhooks that are worth least, of the destination with
+// the longest queue, are rejected, so that those for other destinations are not turned away at the door.
+func (c *Control) shed() {
+	most := max(int(fillTo*float64(c.Buffer)), 1)
+	if was := c.shedding; was != (c.open > most) {
+		c.shedding = !was
+		c.host.Log(fmt.Sprintf("shedding %v, %d held", c.shedding, c.open))
+	}
+	for c.open > most {
+		var victim *webhook
+		longest := 0
+		for _, d := range c.order {
+			n := 0
+			var worst *webhook
+			for _, w := range d.queue {
+				if w.queued && w.mayRun == never {
+					n++
+					if worst == nil || c.before(worst, w) < 0 {
+						worst = w
+					}
+				}
+			}
+			if n > longest {
+				longest, victim = n, worst
+			}
+		}
+		if victim == nil {
+			return
+		}
+		c.finish(victim)
+	}
+}
+
+func seconds(t gateway.Micros) float64 { return float64(t) / float64(gateway.Second) }
+
+// blend smooths a measured time; the first one stands for itself.
+func blend(mean float64, took gateway.Micros) float64 {
+	if mean == 0 {
+		return float64(took)
+	}
+	return mean + smooth*(float64(took)-mean)
+}
--- /dev/null
+++ b/control/state.go
@@ -0,0 +1,96 @@
+package control
+
+import "rowanlink/gateway"
+
+// never marks a time that has not come.
+const never gateway.Micros = -1
+
+// webhook is one webhook that this dispatcher has taken and not yet forgotten.
+type webhook struct {
+	id       gateway.WebhookID
+	evt      *eventRow
+	dest     *destination
+	key      gateway.Key
+	ttl      gateway.Micros // last moment for the final answer
+	target   gateway.Micros // delivered by then it earns its full value
+	over     bool           // beyond its tenant's share
+	attempts int
+	retries  int            // waits drawn so far
+	readyAt  gateway.Micros // its own wait ends then
+	mayRun   gateway.Micros // send of the first attempt that may have run, or never
+	zone     gateway.ZoneID // of that attempt's endpoint
+	sentAt   gateway.Micros
+	call     *call // out now, or nil
+	queued   bool
+	ended    bool
+}
+
+// call is one call out: it holds one slot until every webhook in it has its outcome.
+type call struct {
+	ep     *endpoint
+	left   int
+	turn   int
+	judged bool // its fate has been counted once
+	sick   bool // sent as a canary to a sick route
+}
+
+// endpoint is one address of a destination.
+type endpoint struct {
+	id     gateway.EndpointID
+	zone   gateway.ZoneID
+	dest   *destination
+	route  *route
+	listed bool
+	out    int            // calls out
+	limit  int            // calls out at most, 0: no cap met
+	mean   float64        // answer time in µs, smoothed
+	fails  int            // failures in a row
+	okAt   gateway.Micros // last delivery
+	tryAt  gateway.Micros // sick: not before then
+	open   *call          // call of this turn that still has room
+}
+
+// route is what limits, waits and outages belong to: a destination, or one endpoint where routes are apart.
+type route struct {
+	name      gateway.EndpointID // one endpoint of it, for the log
+	out       int                // calls out
+	window    float64            // calls out at most
+	waitUntil gateway.Micros
+	stated    float64 // calls a second, this dispatcher's part
+	pace      float64 // calls a second let out
+	tokens    float64
+	tokensAt  gateway.Micros
+	cutAt     gateway.Micros // last cut of the pace
+	wakeAt    gateway.Micros // wake already asked for
+	heardAt   gateway.Micros // last outcome, or first send since it was idle
+	mean      float64        // answer time in µs, smoothed; 0: none yet
+	failing   float64        // share of late calls that failed, smoothed
+	refused   int            // refusals in a row
+	fails     int            // failures in a row
+	sick      bool
+	probing   bool
+	tryAt     gateway.Micros // sick: next canary
+	coldSince gateway.Micros // first success after an outage, or never
+}
+
+// destination is where webhooks are meant for.
+type destination struct {
+	id        gateway.DestinationID
+	batch     int
+	apart     bool
+	shared    *route
+	endpoints []*endpoint // ranked
+	queue     []*webhook  // held, not out
+}
+
+// turn is the line of ordered webhooks that share a key.
+type turn struct {
+	line      []*webhook
+	restUntil gateway.Micros
+}
+
+// tenant meters what a tenant hands in against its share.
+type tenant struct {
+	perS, level float64
+	at          gateway.Micros
+}
--- /dev/null
+++ b/internal/due/due.go
@@ -0,0 +1,55 @@
+// Package due keeps things in the order of the time at which they fall due; what falls due together comes
+// out in the order in which it went in, so that a run can be repeated exactly.
+package due
+
+import "container/heap"
+
+type entry[T any] struct {
+	at   int64
+	seq  uint64
+	what T
+}
+
+type entries[T any] []entry[T]
+
+func (e entries[T]) Len() int { return len(e) }
+func (e entries[T]) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e entries[T]) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *entries[T]) Push(x any)   { *e = append(*e, x.(entry[T])) }
+func (e *entries[T]) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	(*e)[last] = entry[T]{}
+	*e = (*e)[:last]
+	return x
+}
+
+// Times is the ordered structure; its zero value is ready for use.
+type Times[T any] struct {
+	held entries[T]
+	seq  uint64
+}
+
+// Add notes that what falls due at the given time.
+func (t *Times[T]) Add(at int64, what T) {
+	t.seq++
+	heap.Push(&t.held, entry[T]{at, t.seq, what})
+}
+
+// Next tells the earliest time due, if there is one.
+func (t *Times[T]) Next() (at int64, ok bool) {
+	if len(t.held) == 0 {
+		return 0, false
+	}
+	return t.held[0].at, true
+}
+
+// Take removes and returns the earliest thing due at or before now.
+func (t *Times[T]) Take(now int64) (what T, ok bool) {
+	if len(t.held) == 0 || t.held[0].at > now {
+		return what, false
+	}
+	return heap.Pop(&t.held).(entry[T]).what, true
+}
