--- a/control/control.go
+++ b/control/control.go
@@ -516,8 +516,12 @@
 	if w == nil || w.call == nil {
 		return
 	}
-	k := w.call
+	k, r := w.call, w.call.ep.route
 	w.call = nil
+	// Guards a told wait: webhooks that shared a call may each be told another one, and the longest holds.
+	if wait > 0 {
+		r.waitUntil = max(r.waitUntil, c.now+wait+1)
+	}
 	if !k.judged {
 		k.judged = true
 		c.judge(k.ep, what, took, wait)
@@ -525,7 +529,7 @@
 	if k.left--; k.left == 0 {
 		c.out--
 		k.ep.out--
-		k.ep.route.out--
+		r.out--
 		if k.sick {
 			c.sickOut--
 		}
@@ -625,7 +629,6 @@
 	case gateway.Full:
 		r.window = max(r.window/2, 1)
 		r.refused++
-		r.waitUntil = max(r.waitUntil, c.roundUp(wait))
 		// Guards against refusals that use up the limit: no other webhook follows at once, and the pace falls.
 		r.tokens = min(r.tokens, 0)
 		if c.now-r.cutAt > gateway.Second/2 {
@@ -662,14 +665,6 @@
 	}
 }
 
-// roundUp turns a told wait into the time when it is over, rounded so that the wait holds.
-func (c *Control) roundUp(wait gateway.Micros) gateway.Micros {
-	if wait <= 0 {
-		return 0
-	}
-	return c.now + wait + 1
-}
-
 // sicken closes a route but for canaries. It covers whatever makes calls fail in a row: crashed, shut, hung or
 // failing destinations. It could do harm where failures cluster by chance; a canary's success ends it.
 func (c *Control) sicken(r *route) {
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,214 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"rowanlink/gateway"
+)
+
+func TestScheduleHasTwoBandsAndNeverOverflows(t *testing.T) {
+	s := begin(plainFacts(), 0)
+	row := &s.events[0] // TTL 20 s: m is 5 s, early up to 2*log2(5) = 4.6
+	for range 200 {
+		for i, most := range []gateway.Micros{1, 2, 4, 5, 5} {
+			assert.LessOrEqual(t, s.delay(row, i), most*sec)
+		}
+		for _, i := range []int{5, 6, 100, 1 << 40} {
+			assert.GreaterOrEqual(t, s.delay(row, i), 4*sec)
+			assert.LessOrEqual(t, s.delay(row, i), 5*sec)
+		}
+	}
+}
+
+func TestWindowGrowsByOneAndHalves(t *testing.T) {
+	s := begin(plainFacts(), 0)
+	for id := range gateway.WebhookID(8) {
+		s.take(id, 0, 0)
+	}
+	s.TurnOver()
+	assert.Len(t, s.h.sent, 1, "the window starts at one")
+	s.h.now += sec / 10
+	s.came(0, gateway.Delivered, 0)
+	assert.Len(t, s.h.sent, 3)
+	s.report(1, gateway.Delivered, 0)
+	s.came(2, gateway.Delivered, 0)
+	assert.Equal(t, 4.0, s.dests[0].shared.window)
+	s.came(3, gateway.Full, 0)
+	assert.Equal(t, 2.0, s.dests[0].shared.window)
+}
+
+func TestToldWaitHoldsEveryWebhookOfTheDestination(t *testing.T) {
+	s := begin(plainFacts(), 1)
+	for id := range gateway.WebhookID(3) {
+		s.take(id, 0, 0)
+	}
+	s.TurnOver() // they share a call
+	s.report(0, gateway.Full, sec/2)
+	s.report(1, gateway.Full, 3*sec/2) // each may be told its own wait: the longest holds
+	s.came(2, gateway.Full, 0)
+	s.take(9, 0, 0)
+	s.run(3*sec/2 - 10000)
+	assert.Len(t, s.h.sent, 3)
+	s.run(sec)
+	assert.Greater(t, len(s.h.sent), 3)
+}
+
+func TestWhoMayTryAgainAfterWhat(t *testing.T) {
+	for _, c := range []struct {
+		evt   gateway.EventTypeID
+		what  gateway.Outcome
+		again bool
+	}{
+		{0, gateway.Errored, true}, {0, gateway.TimedOut, true}, {1, gateway.Reset, true},
+		{2, gateway.Full, true}, {2, gateway.ConnectFailed, true}, {2, gateway.TimedOut, false}, {2, gateway.Errored, false},
+	} {
+		s := begin(plainFacts(), 0)
+		s.take(1, c.evt, 0)
+		s.TurnOver()
+		s.came(1, c.what, 0)
+		s.run(4 * sec)
+		assert.Equal(t, c.again, s.sentOf(1) == 2, "event type %d after %d", c.evt, c.what)
+		assert.Equal(t, !c.again, len(s.h.dead) == 1)
+	}
+}
+
+func TestTokenedIsNotSentOutsideItsWindow(t *testing.T) {
+	s := begin(plainFacts(), 0)
+	s.take(1, 1, 0)
+	s.TurnOver()
+	first := s.h.now
+	s.came(1, gateway.Errored, 0)
+	for s.h.answers == 0 && s.h.now < first+20*sec {
+		s.run(5000)
+		if s.held[1] != nil && s.held[1].call != nil {
+			s.came(1, gateway.Errored, 0)
+		}
+	}
+	assert.Less(t, s.h.sent[len(s.h.sent)-1].at, first+8*sec)
+	assert.Equal(t, []gateway.WebhookID{1}, s.h.dead)
+}
+
+func TestEveryWebhookEndsOnceBeforeItsTTL(t *testing.T) {
+	s := begin(plainFacts()) // no destination is known
+	for id := range gateway.WebhookID(20) {
+		s.take(id, gateway.EventTypeID(id%4), gateway.DestinationID(id%3))
+	}
+	s.TurnOver()
+	s.run(20*sec - 5000)
+	assert.Len(t, s.h.rejected, 20)
+	assert.Equal(t, 20, s.h.answers)
+	assert.Empty(t, s.held)
+}
+
+func TestSentAndBackWithinOneTurnIsNotSentTwice(t *testing.T) {
+	s := begin(plainFacts(), 0)
+	s.take(1, 0, 0)
+	s.TurnOver()
+	s.report(1, gateway.ConnectFailed, 0)
+	s.run(3 * sec)
+	assert.Equal(t, 2, s.sentOf(1))
+}
+
+func TestHungDestinationLeavesSlotsToTheOthers(t *testing.T) {
+	s := begin(plainFacts(), 0, 0)
+	for id := range gateway.WebhookID(40) {
+		s.take(id, 0, 0)
+		s.TurnOver()
+		if id < 10 { // well at first
+			s.h.now += sec / 10
+			s.came(id, gateway.Delivered, 0)
+		}
+	}
+	s.run(10 * sec)
+	assert.LessOrEqual(t, s.out, 6)
+	s.take(99, 0, 1)
+	s.TurnOver()
+	assert.Equal(t, 1, s.sentOf(99))
+}
+
+func TestNothingNewGoesToADrainingEndpoint(t *testing.T) {
+	s := begin(plainFacts(), 0)
+	s.Endpoints([]gateway.Entry{{Endpoint: 0, Destination: 0, Standing: gateway.Draining}}, false)
+	for id := range gateway.WebhookID(4) {
+		s.take(id, 0, 0)
+		s.TurnOver()
+		s.h.now += sec / 10
+		s.came(id, gateway.Delivered, 0)
+		assert.Equal(t, gateway.EndpointID(1), s.h.sent[id].ep)
+	}
+}
+
+func TestOrderedWebhooksOfAKeyGoInTurn(t *testing.T) {
+	s := begin(plainFacts(), 0)
+	s.take(1, 3, 0)
+	s.take(2, 3, 0)
+	s.TurnOver()
+	s.h.now += sec
+	s.came(1, gateway.TimedOut, 0)
+	s.Withdrawn(1) // the earlier one is over, but its attempt may still run
+	s.run(2*sec - 10000)
+	assert.Equal(t, 0, s.sentOf(2))
+	s.run(sec)
+	assert.Equal(t, 1, s.sentOf(2))
+}
+
+func TestReturningDestinationIsNotPushedOver(t *testing.T) {
+	f := plainFacts()
+	s := begin(f, 0)
+	s.dests[0].shared.stated, s.dests[0].shared.pace = 10, 10
+	for id := range gateway.WebhookID(90) {
+		s.take(id, 0, 0)
+	}
+	s.TurnOver()
+	back := s.h.now + 4*sec
+	reached := 0
+	for s.h.now < back+2*sec {
+		s.run(5000)
+		for id := range gateway.WebhookID(90) {
+			if w := s.held[id]; w != nil && w.call != nil {
+				if s.h.now < back {
+					s.report(id, gateway.ConnectFailed, 0)
+				} else {
+					reached++
+					s.report(id, gateway.Delivered, 0)
+				}
+			}
+		}
+	}
+	assert.Positive(t, reached)
+	assert.LessOrEqual(t, float64(reached), f.FallMultiple*(f.StartCapacity+0.1)*10*2)
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	play := func() []sent {
+		s := begin(plainFacts(), 0, 1, 2)
+		for id := range gateway.WebhookID(60) {
+			s.take(id, gateway.EventTypeID(id%4), gateway.DestinationID(id%3))
+			s.run(20000)
+			if id%2 == 0 {
+				s.came(id/2, gateway.Outcome(id%5), 0)
+			}
+		}
+		return s.h.sent
+	}
+	assert.Equal(t, play(), play())
+}
+
+func TestSparseFactsLoseNothing(t *testing.T) {
+	for _, slots := range []int{0, 1, 2} {
+		s := begin(gateway.Facts{Slots: slots, EventTypes: []gateway.EventType{{TTL: 5 * sec, Target: sec}}}, 0, 0)
+		s.Endpoints([]gateway.Entry{{Endpoint: 50, Destination: 7, Kind: 9, Standing: gateway.Gone}}, false)
+		for id := range gateway.WebhookID(10) {
+			s.Take(id, gateway.EventTypeID(id), 3, 0, s.h.now+5*sec, gateway.DestinationID(id))
+		}
+		s.run(6 * sec)
+		for id := range gateway.WebhookID(10) {
+			if w := s.held[id]; w != nil {
+				s.came(id, gateway.Full, 0)
+			}
+		}
+		assert.Equal(t, 10, s.h.answers)
+	}
+}
