--- a/control/control.go
+++ b/control/control.go
@@ -32,7 +32,7 @@
 	slowBy     = 3.0  // a route is slow when its answers take so many times the usual
 	smooth     = 1.0 / 8
 	paceCut    = 0.8  // pace after a refusal
-	paceStep   = 0.03 // pace regained by a success, of the stated rate
+	paceStep   = 0.03 // pace regained a second while all goes well, as a share
 	paceTop    = 4.0  // most pace, over the stated rate
 	paceLeast  = 1.0 / 8
 	burstSpan  = 0.5 // seconds of pace that may be sent at once
@@ -624,7 +624,7 @@
 		e.okAt = c.now
 		r.failing -= smooth * r.failing
 		r.window = min(r.window+1, fullShare*float64(c.Slots))
-		r.pace = min(r.pace+paceStep*r.stated, paceTop*r.stated)
+		r.pace = min(r.pace+paceStep, paceTop*r.stated)
 		c.recover(r)
 	case gateway.Full:
 		r.window = max(r.window/2, 1)
