--- a/control/control.go
+++ b/control/control.go
@@ -28,7 +28,7 @@
 	capShare   = 0.25 // m, as a share of the tightest of TTL and token window
 	lateFrom   = 0.8  // the late band starts at this share of m
 	patienceBy = 6.0  // patience over the smoothed answer time
-	silentBy   = 4.0  // a route with calls out that says nothing for so many answer times is silent
+	silentBy   = 6.0  // a route is silent when the gap since its last outcome is so many times that expected
 	slowBy     = 3.0  // a route is slow when its answers take so many times the usual
 	smooth     = 1.0 / 8
 	paceCut    = 0.8  // pace after a refusal
@@ -437,7 +437,7 @@
 // stalls, where a call sent now would only queue. It could hold back a route whose answers vary widely, which
 // is why it takes two calls out.
 func (c *Control) silent(r *route) bool {
-	return r.out >= 2 && r.mean > 0 && float64(c.now-r.heardAt) > silentBy*r.mean
+	return r.out >= 2 && r.mean > 0 && float64(c.now-r.heardAt) > max(silentBy/float64(r.out), 1)*r.mean
 }
 
 // choose takes the first endpoint of the ranked order that has room.
@@ -734,8 +734,8 @@
 // the longest queue, are rejected, so that those for other destinations are not turned away at the door.
 func (c *Control) shed() {
 	most := max(int(fillTo*float64(c.Buffer)), 1)
-	if was := c.shedding; was != (c.open > most) {
-		c.shedding = !was
+	if !c.shedding && c.open > most || c.shedding && c.open <= most/2 {
+		c.shedding = !c.shedding
 		c.host.Log(fmt.Sprintf("shedding %v, %d held", c.shedding, c.open))
 	}
 	for c.open > most {
