A single failure no longer restarts a cold route's ramp

Cause: held webhooks stood mostly behind cold routes whose ramp began anew at each time-out or stray error. Now only a route that sickens again starts over.

--- a/control/control.go
+++ b/control/control.go
@@ -653,9 +653,6 @@
 		e.fails++
 		r.fails++
 		r.failing += smooth * (1 - r.failing)
-		if r.coldSince != never {
-			r.coldSince = c.now
-		}
 		if e.fails >= sickRow {
 			e.tryAt = c.now + c.canaryPause()
 		}
