Cold routes use 3/4 of their budget and start from the stated pace; pace floor at half

Cause: refusals at a shut door had cut the pace to an eighth, which came back at 3% a second; the cold budget was half used.

--- a/control/control.go
+++ b/control/control.go
@@ -34,15 +34,15 @@
 	paceCut    = 0.8  // pace after a refusal
 	paceStep   = 0.03 // pace regained a second while all goes well, as a share
 	paceTop    = 4.0  // most pace, over the stated rate
-	paceLeast  = 1.0 / 8
-	burstSpan  = 0.5 // seconds of pace that may be sent at once
-	sickRow    = 3   // failures in a row that make a route or endpoint sick
-	fullRow    = 6   // refusals in a row that do
-	sickAt     = 0.5 // share of failed calls that does
-	canaryBy   = 0.1 // pause between canaries, over the time to warm
-	coldPart   = 0.5 // of the budget of a cold route that is used
-	fillTo     = 0.9 // of the buffer
-	overBurst  = 2.0 // seconds of a tenant's share that may come at once
+	paceLeast  = 1.0 / 2
+	burstSpan  = 0.5  // seconds of pace that may be sent at once
+	sickRow    = 3    // failures in a row that make a route or endpoint sick
+	fullRow    = 6    // refusals in a row that do
+	sickAt     = 0.5  // share of failed calls that does
+	canaryBy   = 0.1  // pause between canaries, over the time to warm
+	coldPart   = 0.75 // of the budget of a cold route that is used
+	fillTo     = 0.9  // of the buffer
+	overBurst  = 2.0  // seconds of a tenant's share that may come at once
 )
 
 // Timers of an instance: one for periodic work, one for the earliest due time.
@@ -680,6 +680,7 @@
 		r.sick, r.coldSince = false, c.now
 		r.failing = min(r.failing, sickAt/2)
 		r.tokens = 0
+		r.pace = max(r.pace, r.stated) // refusals while it was shut said nothing of its limit
 		c.host.Log(fmt.Sprintf("endpoint %d: destination cold", r.name))
 	}
 	if r.coldSince != never && c.now-r.coldSince > c.WarmAfter {
