--- a/control/control.go
+++ b/control/control.go
@@ -1,9 +1,9 @@
 // Package control is the decision module: every decision, table and tuned value of rowanlink is in this file.
 //
-// Callers make one instance a dispatcher with New and then call it, turn by turn, through gateway.Module: the
-// endpoint list, webhooks taken, outcomes, probe results, withdrawals and wakes, and TurnOver when all that has
-// come in at one moment was told. It acts through gateway.Host; both are defined in gateway/gateway.go, the
-// records that it keeps in control/state.go. Nothing is shared between instances.
+// Callers make one instance a dispatcher with New and call it turn by turn through gateway.Module: the endpoint
+// list, webhooks taken, outcomes, probe results, withdrawals, wakes, and TurnOver when all of one moment was told.
+// It acts through gateway.Host. Both are defined in gateway/gateway.go, the records kept in control/state.go.
+// Nothing is shared between instances.
 //
 // A webhook passes a chain of stages - expiry, order, schedule, slots, route, endpoint, send - each of which
 // passes it on, holds it until a later turn, or ends it. An outcome runs back through them from the last.
@@ -17,11 +17,10 @@
 	"slices"
 
 	"rowanlink/gateway"
-	"rowanlink/internal/due"
 	"rowanlink/internal/mwc"
 )
 
-// The tuned values. All are ratios; docs/design.md tells what each trades and how flat the result is around it.
+// The tuned values: ratios. docs/design.md tells what each trades and how flat the result is around it.
 const (
 	fullShare  = 0.75 // of the slots, to one route
 	sickShare  = 0.5  // of the slots, to one route that is failing or slow, and to all sick ones together
@@ -51,14 +50,6 @@
 	timerDue
 )
 
-// eventRow is what the module reads of an event type: a row of the one table in which event types differ.
-type eventRow struct {
-	gateway.EventType
-	cap   float64        // m, in seconds
-	early int            // last retry of the early band
-	reach gateway.Micros // longest patience
-}
-
 type verdict int
 
 const (
@@ -67,32 +58,6 @@
 	end
 )
 
-// Control decides for one dispatcher.
-type Control struct {
-	gateway.Facts
-	host      gateway.Host
-	chance    *mwc.Source
-	events    []eventRow
-	tenants   []tenant
-	now       gateway.Micros
-	turn      int
-	held      map[gateway.WebhookID]*webhook
-	open      int // webhooks that are owed an answer
-	out       int // calls out
-	sickOut   int // of them, to sick routes
-	dests     map[gateway.DestinationID]*destination
-	order     []*destination // all of them, as first heard of
-	endpoints map[gateway.EndpointID]*endpoint
-	turns     map[gateway.Key]*turn
-	dues      due.Times[*webhook] // nil stands for a route that opens
-	armed     gateway.Micros
-	mean      float64 // answer time in µs over all routes, smoothed
-	shedding  bool
-	stages    []func(*webhook) verdict
-	pick      *endpoint // the endpoint stage's choice for the send stage
-	ready     []*webhook
-}
-
 // New starts a dispatcher that knows nothing but the facts. Facts left out are made harmless.
 func New(f gateway.Facts, host gateway.Host) *Control {
 	f.Fleet, f.Slots, f.Buffer = max(f.Fleet, 1), max(f.Slots, 1), max(f.Buffer, 1)
@@ -141,22 +106,19 @@
 			d.batch, d.apart = max(c.Kinds[l.Kind].Batch, 1), c.Kinds[l.Kind].Apart
 		}
 		if e == nil {
-			e = &endpoint{id: l.Endpoint, zone: l.Zone, dest: d}
-			c.endpoints[l.Endpoint] = e
-			if e.route = d.shared; d.apart {
+			e = &endpoint{id: l.Endpoint, zone: l.Zone, dest: d, route: d.shared}
+			if d.apart {
 				e.route = c.newRoute()
 			}
-			e.route.name = e.id
+			e.route.name, c.endpoints[l.Endpoint] = e.id, e
 		}
 		if l.Standing == gateway.Listed && !slices.Contains(d.endpoints, e) {
 			d.endpoints = append(d.endpoints, e)
 		}
 		e.listed = l.Standing == gateway.Listed
-		if c.RatesStated && l.Rate > 0 && !math.IsInf(l.Rate, 0) {
-			if r := e.route; r.stated != l.Rate/float64(c.Fleet) {
-				r.stated = l.Rate / float64(c.Fleet)
-				r.pace = r.stated
-			}
+		part := l.Rate / float64(c.Fleet)
+		if r := e.route; c.RatesStated && part > 0 && !math.IsInf(part, 0) && r.stated != part {
+			r.stated, r.pace = part, part
 		}
 	}
 	for _, d := range c.order {
@@ -207,8 +169,7 @@
 		return false
 	}
 	t := &c.tenants[id]
-	t.level = min(t.level+t.perS*seconds(c.now-t.at), t.perS*overBurst)
-	t.at = c.now
+	t.level, t.at = min(t.level+t.perS*seconds(c.now-t.at), t.perS*overBurst), c.now
 	if t.level < 1 {
 		return true
 	}
@@ -224,8 +185,8 @@
 // lastAnswer is when a webhook that is not out must have its answer: a tick to spare before the TTL.
 func (c *Control) lastAnswer(w *webhook) gateway.Micros { return w.ttl - 2*c.Tick }
 
-// lastSend is the last moment at which an attempt may be sent: in time for an answer and, where the webhook may
-// have run, inside the time for which the destination remembers its token.
+// lastSend is the last moment for an attempt: in time for an answer and, where a tokened webhook may have run,
+// inside the time for which the destination remembers its token.
 func (c *Control) lastSend(w *webhook) gateway.Micros {
 	last := c.lastAnswer(w)
 	if w.mayRun != never && w.evt.Repeat == gateway.Tokened {
@@ -248,10 +209,9 @@
 			c.finish(w)
 		}
 	}
-	c.shed()
 	c.ready = c.ready[:0]
 	for _, d := range c.order {
-		if len(d.queue) == 0 || !slices.ContainsFunc(d.endpoints, func(e *endpoint) bool { return c.opens(e.route) }) {
+		if len(d.queue) == 0 || !c.anyOpen(d) {
 			continue
 		}
 		for _, w := range d.queue {
@@ -263,31 +223,31 @@
 	slices.SortStableFunc(c.ready, c.before)
 	for _, w := range c.ready {
 		for _, s := range c.stages {
-			v := s(w)
-			if v == end {
+			if v := s(w); v == end {
 				c.finish(w)
-			}
-			if v != pass {
+				break
+			} else if v == hold {
 				break
 			}
 		}
 	}
 	for _, d := range c.order { // now, so that one sent and back before the next turn does not stand here twice
-		d.queue = slices.DeleteFunc(d.queue, func(w *webhook) bool { return !w.queued })
+		prune(d)
 	}
+	c.shed()
 	if at, ok := c.dues.Next(); ok && gateway.Micros(at) < c.armed {
 		c.armed = gateway.Micros(at)
 		c.host.Wake(max(c.armed-c.now, 1), timerDue)
 	}
 }
 
-// before ranks webhooks by the value still to be had. Those inside their tenant's share come first; then those
-// that can still make the target latency, the nearest to missing it first; then the late ones, the youngest
-// first: all lose value alike, so that what can't all be delivered in time is given up from the oldest on.
+// before ranks webhooks by the value still to be had. Those inside their tenant's share come first; of them
+// those that can still make the target latency, the nearest to missing it first; then the late ones, youngest
+// first: all lose value alike, so what can't all be delivered in time is given up from the oldest on. A tokened
+// webhook that may have run counts as in time: past its window it would be a dead letter.
 func (c *Control) before(a, b *webhook) int {
-	tier := func(w *webhook) int {
-		t := 0
-		if c.late(w) {
+	tier := func(w *webhook) (t int) {
+		if c.late(w) && (w.mayRun == never || w.evt.Repeat != gateway.Tokened) {
 			t = 1
 		}
 		if w.over {
@@ -317,8 +277,8 @@
 	return pass
 }
 
-// inTurn holds an ordered webhook until every earlier one of its key is over and has no attempt out, and the key
-// has rested after one that may still run.
+// inTurn holds an ordered webhook until each earlier one of its key is over with no attempt out, and the key has
+// rested after one that may still run.
 func (c *Control) inTurn(w *webhook) verdict {
 	if !w.evt.Ordered || w.key == 0 {
 		return pass
@@ -345,7 +305,7 @@
 	return pass
 }
 
-// slots counts own calls exactly, so that none comes back unsent. A call of this turn with room needs no slot.
+// slots counts own calls exactly, so that none comes back unsent. Joining a call of this turn needs none.
 func (c *Control) slots(w *webhook) verdict {
 	if c.out < c.Slots || c.joinable(w) != nil {
 		return pass
@@ -362,20 +322,23 @@
 	return nil
 }
 
-// inZone guards against a second effect: where only a zone shares what it remembers of a token, a webhook that
-// may have run stays in it.
+// inZone guards against a second effect: where only a zone remembers a token, what may have run stays in it.
 func (c *Control) inZone(w *webhook, e *endpoint) bool {
 	return w.mayRun == never || w.evt.Repeat != gateway.Tokened || !w.evt.TokenByZone || w.zone == e.zone
 }
 
 // routeOpen holds a webhook while no route of its destination is open.
 func (c *Control) routeOpen(w *webhook) verdict {
-	if c.joinable(w) != nil || slices.ContainsFunc(w.dest.endpoints, func(e *endpoint) bool { return c.opens(e.route) }) {
+	if c.joinable(w) != nil || c.anyOpen(w.dest) {
 		return pass
 	}
 	return hold
 }
 
+func (c *Control) anyOpen(d *destination) bool {
+	return slices.ContainsFunc(d.endpoints, func(e *endpoint) bool { return c.opens(e.route) })
+}
+
 // opens tells whether a route takes one more call now, and sees to a wake when it will.
 func (c *Control) opens(r *route) bool {
 	if c.now < r.waitUntil { // a told wait holds every send, whatever the webhook
@@ -397,8 +360,7 @@
 		return false
 	}
 	rate, depth := c.rate(r)
-	r.tokens = min(r.tokens+rate*seconds(c.now-r.tokensAt), depth)
-	r.tokensAt = c.now
+	r.tokens, r.tokensAt = min(r.tokens+rate*seconds(c.now-r.tokensAt), depth), c.now
 	if r.tokens < 1 {
 		c.wakeFor(r, c.now+gateway.Micros(math.Ceil((1-r.tokens)/rate*float64(gateway.Second))))
 		return false
@@ -433,9 +395,9 @@
 	return max(int(min(r.window, share*float64(c.Slots))), 1)
 }
 
-// silent guards the slots against a route that hangs, before the first time-out tells of it. It also covers short
-// stalls, where a call sent now would only queue. It could hold back a route whose answers vary widely, which
-// is why it takes two calls out.
+// silent guards the slots against a route that hangs, before the first time-out tells of it. It also covers
+// short stalls, where a call sent now would only queue. It could hold back a route whose answers vary widely,
+// which is why it takes two calls out.
 func (c *Control) silent(r *route) bool {
 	return r.out >= 2 && r.mean > 0 && float64(c.now-r.heardAt) > max(silentBy/float64(r.out), 1)*r.mean
 }
@@ -564,8 +526,8 @@
 	c.enqueue(w)
 }
 
-// delay is the design's schedule: min(m, random()*2^i) while i <= 2*log2(m), then evenly 80-100% of m. Past that
-// i the power is never taken, so that no number of retries overflows.
+// delay is the design's schedule: min(m, random()*2^i) while i <= 2*log2(m), then evenly 80-100% of m. Past
+// that i the power is never taken, so that no number of retries overflows.
 func (c *Control) delay(evt *eventRow, i int) gateway.Micros {
 	x := c.chance.Float()
 	s := evt.cap * (lateFrom + (1-lateFrom)*x)
@@ -662,8 +624,8 @@
 	}
 }
 
-// sicken closes a route but for canaries. It covers whatever makes calls fail in a row: crashed, shut, hung or
-// failing destinations. It could do harm where failures cluster by chance; a canary's success ends it.
+// sicken closes a route but for canaries. It covers whatever makes calls fail in a row: destinations crashed,
+// shut, hung or failing. It could do harm where failures cluster by chance; a canary's success ends it.
 func (c *Control) sicken(r *route) {
 	r.window = 1
 	r.tryAt = max(r.tryAt, c.now+c.canaryPause())
@@ -716,7 +678,7 @@
 	}
 }
 
-// rank renews the order in which a destination's endpoints are filled: the quickest first, near ones before far.
+// rank renews the order in which a destination's endpoints are filled: quick and near ones first.
 func (c *Control) rank(d *destination) {
 	score := func(e *endpoint) float64 {
 		s := e.mean
@@ -728,8 +690,8 @@
 	slices.SortStableFunc(d.endpoints, func(a, b *endpoint) int { return cmp.Compare(score(a), score(b)) })
 }
 
-// shed keeps the buffer from filling up: past its share the webhooks that are worth least, of the destination with
-// the longest queue, are rejected, so that those for other destinations are not turned away at the door.
+// shed keeps the buffer from filling up: past its share the webhooks worth least, of the destination with the
+// longest queue, are rejected, so that those for other destinations are not turned away at the door.
 func (c *Control) shed() {
 	most := max(int(fillTo*float64(c.Buffer)), 1)
 	if !c.shedding && c.open > most || c.shedding && c.open <= most/2 {
@@ -737,30 +699,26 @@
 		c.host.Log(fmt.Sprintf("shedding %v, %d held", c.shedding, c.open))
 	}
 	for c.open > most {
+		d := slices.MaxFunc(c.order, func(a, b *destination) int { return len(a.queue) - len(b.queue) })
 		var victim *webhook
-		longest := 0
-		for _, d := range c.order {
-			n := 0
-			var worst *webhook
-			for _, w := range d.queue {
-				if w.queued && w.mayRun == never {
-					n++
-					if worst == nil || c.before(worst, w) < 0 {
-						worst = w
-					}
-				}
-			}
-			if n > longest {
-				longest, victim = n, worst
+		for _, w := range d.queue {
+			if w.mayRun == never && (victim == nil || c.before(victim, w) < 0) {
+				victim = w
 			}
 		}
 		if victim == nil {
 			return
 		}
 		c.finish(victim)
+		prune(d)
 	}
 }
 
+// prune drops from a destination's queue what is no longer held there.
+func prune(d *destination) {
+	d.queue = slices.DeleteFunc(d.queue, func(w *webhook) bool { return !w.queued })
+}
+
 func seconds(t gateway.Micros) float64 { return float64(t) / float64(gateway.Second) }
 
 // blend smooths a measured time; the first one stands for itself.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -62,7 +62,8 @@
 		again bool
 	}{
 		{0, gateway.Errored, true}, {0, gateway.TimedOut, true}, {1, gateway.Reset, true},
-		{2, gateway.Full, true}, {2, gateway.ConnectFailed, true}, {2, gateway.TimedOut, false}, {2, gateway.Errored, false},
+		{2, gateway.Full, true}, {2, gateway.ConnectFailed, true},
+		{2, gateway.TimedOut, false}, {2, gateway.Errored, false},
 	} {
 		s := begin(plainFacts(), 0)
 		s.take(1, c.evt, 0)
--- a/control/state.go
+++ b/control/state.go
@@ -1,10 +1,48 @@
 package control
 
-import "rowanlink/gateway"
+import (
+	"rowanlink/gateway"
+	"rowanlink/internal/due"
+	"rowanlink/internal/mwc"
+)
 
 // never marks a time that has not come.
 const never gateway.Micros = -1
 
+// Control decides for one dispatcher.
+type Control struct {
+	gateway.Facts
+	host      gateway.Host
+	chance    *mwc.Source
+	events    []eventRow
+	tenants   []tenant
+	now       gateway.Micros
+	turn      int
+	held      map[gateway.WebhookID]*webhook
+	open      int // webhooks that are owed an answer
+	out       int // calls out
+	sickOut   int // of them, to sick routes
+	dests     map[gateway.DestinationID]*destination
+	order     []*destination // all of them, as first heard of
+	endpoints map[gateway.EndpointID]*endpoint
+	turns     map[gateway.Key]*turn
+	dues      due.Times[*webhook] // nil stands for a route that opens
+	armed     gateway.Micros
+	mean      float64 // answer time in µs over all routes, smoothed
+	shedding  bool
+	stages    []func(*webhook) verdict
+	pick      *endpoint // the endpoint stage's choice for the send stage
+	ready     []*webhook
+}
+
+// eventRow is what the module reads of an event type: a row of the one table in which event types differ.
+type eventRow struct {
+	gateway.EventType
+	cap   float64        // m, in seconds
+	early int            // last retry of the early band
+	reach gateway.Micros // longest patience
+}
+
 // webhook is one webhook that this dispatcher has taken and not yet forgotten.
 type webhook struct {
 	id       gateway.WebhookID
