--- a/control/control.go
+++ b/control/control.go
@@ -26,7 +26,7 @@
 	sickShare  = 0.5  // of the slots, to one route that is failing or slow, and to all sick ones together
 	capShare   = 0.25 // m, as a share of the tightest of TTL and token window
 	lateFrom   = 0.8  // the late band starts at this share of m
-	patienceBy = 4.0  // patience over the smoothed answer time
+	patienceBy = 14.0 // patience over the smoothed answer time
 	silentBy   = 6.0  // a route is silent when the gap since its last outcome is so many times that expected
 	slowBy     = 3.0  // a route is slow when its answers take so many times the usual
 	smooth     = 1.0 / 8
