--- a/control/control.go
+++ b/control/control.go
@@ -26,7 +26,7 @@
 	sickShare  = 0.5  // of the slots, to one route that is failing or slow, and to all sick ones together
 	capShare   = 0.25 // m, as a share of the tightest of TTL and token window
 	lateFrom   = 0.8  // the late band starts at this share of m
-	patienceBy = 14.0 // patience over the smoothed answer time
+	patienceBy = 0.7  // patience, as a share of the tightest of TTL and token window
 	silentBy   = 6.0  // a route is silent when the gap since its last outcome is so many times that expected
 	slowBy     = 3.0  // a route is slow when its answers take so many times the usual
 	smooth     = 1.0 / 8
@@ -78,7 +78,7 @@
 		}
 		row.cap = capShare * float64(tightest) / float64(gateway.Second)
 		row.early = int(math.Floor(2 * math.Log2(max(row.cap, 0.5))))
-		row.reach = max(tightest/2, 1)
+		row.reach = max(gateway.Micros(patienceBy*float64(tightest)), 1)
 		c.events = append(c.events, row)
 	}
 	for _, perS := range f.Tenants {
@@ -453,7 +453,7 @@
 	w.queued = false
 	w.attempts++
 	w.sentAt = c.now
-	c.host.Attempt(w.id, e.id, c.patience(w, e))
+	c.host.Attempt(w.id, e.id, c.patience(w))
 	return pass
 }
 
@@ -462,12 +462,8 @@
 }
 
 // patience leaves a slow answer its time; a time-out makes work that may still run and cost the webhook.
-func (c *Control) patience(w *webhook, e *endpoint) gateway.Micros {
-	p := w.evt.Target
-	if e.mean > 0 {
-		p = max(gateway.Micros(patienceBy*e.mean), w.evt.Target/2)
-	}
-	return max(min(p, w.evt.reach, w.ttl-c.now), 1)
+func (c *Control) patience(w *webhook) gateway.Micros {
+	return max(min(w.evt.reach, w.ttl-c.now), 1)
 }
 
 // Outcome takes what came of an attempt, back through the stages from the last.
