Patience shrinks towards 6 answer times as answers get lost

Cause: with patience of 0.7 of the window a lost answer holds slot and webhook for seconds. Covers lost answers, one hung endpoint of several. Harm: long-tailed answers cut off when others are lost.

--- a/control/control.go
+++ b/control/control.go
@@ -27,6 +27,8 @@
 	capShare   = 0.25 // m, as a share of the tightest of TTL and token window
 	lateFrom   = 0.8  // the late band starts at this share of m
 	patienceBy = 0.7  // patience, as a share of the tightest of TTL and token window
+	lossBy     = 6.0  // how fast patience shrinks with the share of answers lost
+	tailBy     = 6.0  // it shrinks to so many answer times
 	silentBy   = 6.0  // a route is silent when the gap since its last outcome is so many times that expected
 	slowBy     = 3.0  // a route is slow when its answers take so many times the usual
 	smooth     = 1.0 / 8
@@ -76,7 +78,7 @@
 		if t.Repeat == gateway.Tokened {
 			tightest = min(tightest, t.TokenWindow)
 		}
-		row.cap = capShare * float64(tightest) / float64(gateway.Second)
+		row.cap = capShare * tightest.Seconds()
 		row.early = int(math.Floor(2 * math.Log2(max(row.cap, 0.5))))
 		row.reach = max(gateway.Micros(patienceBy*float64(tightest)), 1)
 		c.events = append(c.events, row)
@@ -169,7 +171,7 @@
 		return false
 	}
 	t := &c.tenants[id]
-	t.level, t.at = min(t.level+t.perS*seconds(c.now-t.at), t.perS*overBurst), c.now
+	t.level, t.at = min(t.level+t.perS*(c.now-t.at).Seconds(), t.perS*overBurst), c.now
 	if t.level < 1 {
 		return true
 	}
@@ -232,7 +234,7 @@
 		}
 	}
 	for _, d := range c.order { // now, so that one sent and back before the next turn does not stand here twice
-		prune(d)
+		d.prune()
 	}
 	c.shed()
 	if at, ok := c.dues.Next(); ok && gateway.Micros(at) < c.armed {
@@ -360,7 +362,7 @@
 		return false
 	}
 	rate, depth := c.rate(r)
-	r.tokens, r.tokensAt = min(r.tokens+rate*seconds(c.now-r.tokensAt), depth), c.now
+	r.tokens, r.tokensAt = min(r.tokens+rate*(c.now-r.tokensAt).Seconds(), depth), c.now
 	if r.tokens < 1 {
 		c.wakeFor(r, c.now+gateway.Micros(math.Ceil((1-r.tokens)/rate*float64(gateway.Second))))
 		return false
@@ -381,7 +383,7 @@
 	if r.coldSince == never {
 		return r.pace, max(r.pace*burstSpan, 1)
 	}
-	warm := min(seconds(c.now-r.coldSince)/seconds(c.WarmAfter), 1)
+	warm := min((c.now-r.coldSince).Seconds()/c.WarmAfter.Seconds(), 1)
 	share := c.StartCapacity + (1-c.StartCapacity)*warm
 	return min(r.pace, coldPart*c.FallMultiple*share*r.stated), 1
 }
@@ -453,7 +455,7 @@
 	w.queued = false
 	w.attempts++
 	w.sentAt = c.now
-	c.host.Attempt(w.id, e.id, c.patience(w))
+	c.host.Attempt(w.id, e.id, c.patience(w, e))
 	return pass
 }
 
@@ -461,9 +463,15 @@
 	return gateway.Micros(canaryBy * float64(c.WarmAfter) * (1 + c.chance.Float()) / 1.5)
 }
 
-// patience leaves a slow answer its time; a time-out makes work that may still run and cost the webhook.
-func (c *Control) patience(w *webhook) gateway.Micros {
-	return max(min(w.evt.reach, w.ttl-c.now), 1)
+// patience leaves a slow answer its time; a time-out makes work that may still run and cost the webhook. Where
+// answers get lost it shrinks towards the time that those which come take: lost answers, hangs of one endpoint
+// of several. A destination grown slow raises its answer time and so keeps its patience.
+func (c *Control) patience(w *webhook, e *endpoint) gateway.Micros {
+	p := float64(w.evt.reach)
+	if r := e.route; r.mean > 0 && !r.sick {
+		p = max(p*(1-lossBy*max(r.lost, c.lost)), min(p, tailBy*r.mean))
+	}
+	return max(min(gateway.Micros(p), w.ttl-c.now), 1)
 }
 
 // Outcome takes what came of an attempt, back through the stages from the last.
@@ -581,6 +589,8 @@
 		e.fails, r.fails, r.refused = 0, 0, 0
 		e.okAt = c.now
 		r.failing -= smooth * r.failing
+		r.lost -= smooth * r.lost
+		c.lost -= smooth / 4 * c.lost
 		r.window = min(r.window+1, fullShare*float64(c.Slots))
 		r.pace = min(r.pace+paceStep, paceTop*r.stated)
 		c.recover(r)
@@ -606,6 +616,8 @@
 		}
 		if what == gateway.TimedOut {
 			r.window = max(r.window/2, 1)
+			r.lost += smooth * (1 - r.lost)
+			c.lost += smooth / 4 * (1 - c.lost)
 			if e.fails > 0 { // one lost answer says nothing of the pace; several may be a slow destination
 				e.mean, r.mean = blend(e.mean, took), blend(r.mean, took)
 			}
@@ -708,17 +720,10 @@
 			return
 		}
 		c.finish(victim)
-		prune(d)
+		d.prune()
 	}
 }
 
-// prune drops from a destination's queue what is no longer held there.
-func prune(d *destination) {
-	d.queue = slices.DeleteFunc(d.queue, func(w *webhook) bool { return !w.queued })
-}
-
-func seconds(t gateway.Micros) float64 { return float64(t) / float64(gateway.Second) }
-
 // blend smooths a measured time; the first one stands for itself.
 func blend(mean float64, took gateway.Micros) float64 {
 	if mean == 0 {
--- a/control/state.go
+++ b/control/state.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"rowanlink/gateway"
 	"rowanlink/internal/due"
 	"rowanlink/internal/mwc"
@@ -29,6 +31,7 @@
 	dues      due.Times[*webhook] // nil stands for a route that opens
 	armed     gateway.Micros
 	mean      float64 // answer time in µs over all routes, smoothed
+	lost      float64 // share of late calls that timed out, over all routes, smoothed
 	shedding  bool
 	stages    []func(*webhook) verdict
 	pick      *endpoint // the endpoint stage's choice for the send stage
@@ -103,6 +106,7 @@
 	heardAt   gateway.Micros // last outcome, or first send since it was idle
 	mean      float64        // answer time in µs, smoothed; 0: none yet
 	failing   float64        // share of late calls that failed, smoothed
+	lost      float64        // share of late calls that timed out, smoothed
 	refused   int            // refusals in a row
 	fails     int            // failures in a row
 	sick      bool
@@ -121,6 +125,11 @@
 	queue     []*webhook  // held, not out
 }
 
+// prune drops from the queue what is no longer held there.
+func (d *destination) prune() {
+	d.queue = slices.DeleteFunc(d.queue, func(w *webhook) bool { return !w.queued })
+}
+
 // turn is the line of ordered webhooks that share a key.
 type turn struct {
 	line      []*webhook
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,9 @@
 // Second is the unit of the retry schedule.
 const Second Micros = 1_000_000
 
+// Seconds is the span in seconds.
+func (t Micros) Seconds() float64 { return float64(t) / float64(Second) }
+
 // The ids. None carries a meaning beyond equality, but those that index a list in Facts.
 type (
 	WebhookID     uint32
