Probes serve as canaries where allowed; a connection cap once met grows again

Cause: canaries put tokened webhooks inside their window during hangs; a failed connect at the start of a crash left a cap for good. A probe that tells of health webhooks don't find ends probing.

--- a/control/control.go
+++ b/control/control.go
@@ -5,8 +5,8 @@
 // It acts through gateway.Host. Both are defined in gateway/gateway.go, the records kept in control/state.go.
 // Nothing is shared between instances.
 //
-// A webhook passes a chain of stages - expiry, order, schedule, slots, route, endpoint, send - each of which
-// passes it on, holds it until a later turn, or ends it. An outcome runs back through them from the last.
+// A webhook passes a chain of stages - expiry, order, schedule, slots, endpoint, send - each of which passes it
+// on, holds it until a later turn, or ends it. An outcome runs back through them from the last.
 // docs/design.md tells stage by stage what is the design's and what is an exception, and when that acts.
 package control
 
@@ -42,6 +42,7 @@
 	sickAt     = 0.5  // share of failed calls that does
 	canaryBy   = 0.1  // pause between canaries, over the time to warm
 	coldPart   = 0.75 // of the budget of a cold route that is used
+	capGrows   = 0.05 // growth of a connection cap once met, a period
 	fillTo     = 0.9  // of the buffer
 	overBurst  = 2.0  // seconds of a tenant's share that may come at once
 )
@@ -87,7 +88,7 @@
 		perS /= float64(f.Fleet)
 		c.tenants = append(c.tenants, tenant{perS: perS, level: perS * overBurst, at: c.now})
 	}
-	c.stages = []func(*webhook) verdict{c.expiry, c.inTurn, c.schedule, c.slots, c.routeOpen, c.choose, c.send}
+	c.stages = []func(*webhook) verdict{c.expiry, c.inTurn, c.schedule, c.slots, c.choose, c.send}
 	host.Wake(gateway.Second/2, timerPeriod)
 	return c
 }
@@ -162,7 +163,7 @@
 		c.turns[key].line = append(c.turns[key].line, w)
 	}
 	c.dues.Add(int64(c.lastAnswer(w)), w)
-	c.enqueue(w)
+	w.enqueue()
 }
 
 // overShare meters a tenant's webhooks: what comes beyond its share earns little, whatever is done with it.
@@ -179,11 +180,6 @@
 	return false
 }
 
-func (c *Control) enqueue(w *webhook) {
-	w.queued = true
-	w.dest.queue = append(w.dest.queue, w)
-}
-
 // lastAnswer is when a webhook that is not out must have its answer: a tick to spare before the TTL.
 func (c *Control) lastAnswer(w *webhook) gateway.Micros { return w.ttl - 2*c.Tick }
 
@@ -285,12 +281,7 @@
 	if !w.evt.Ordered || w.key == 0 {
 		return pass
 	}
-	t := c.turns[w.key]
-	if t.line[0] != w {
-		return hold
-	}
-	if w.attempts == 0 && c.now < t.restUntil {
-		c.dues.Add(int64(t.restUntil), nil)
+	if t := c.turns[w.key]; t.line[0] != w || w.attempts == 0 && c.now < t.restUntil {
 		return hold
 	}
 	return pass
@@ -309,10 +300,10 @@
 
 // slots counts own calls exactly, so that none comes back unsent. Joining a call of this turn needs none.
 func (c *Control) slots(w *webhook) verdict {
-	if c.out < c.Slots || c.joinable(w) != nil {
-		return pass
+	if c.pick = c.joinable(w); c.pick == nil && c.out >= c.Slots {
+		return hold
 	}
-	return hold
+	return pass
 }
 
 func (c *Control) joinable(w *webhook) *endpoint {
@@ -329,20 +320,13 @@
 	return w.mayRun == never || w.evt.Repeat != gateway.Tokened || !w.evt.TokenByZone || w.zone == e.zone
 }
 
-// routeOpen holds a webhook while no route of its destination is open.
-func (c *Control) routeOpen(w *webhook) verdict {
-	if c.joinable(w) != nil || c.anyOpen(w.dest) {
-		return pass
-	}
-	return hold
-}
-
 func (c *Control) anyOpen(d *destination) bool {
-	return slices.ContainsFunc(d.endpoints, func(e *endpoint) bool { return c.opens(e.route) })
+	return slices.ContainsFunc(d.endpoints, func(e *endpoint) bool { return c.opens(e) })
 }
 
-// opens tells whether a route takes one more call now, and sees to a wake when it will.
-func (c *Control) opens(r *route) bool {
+// opens tells whether an endpoint's route takes one more call now, and sees to a wake when it will.
+func (c *Control) opens(e *endpoint) bool {
+	r := e.route
 	if c.now < r.waitUntil { // a told wait holds every send, whatever the webhook
 		c.wakeFor(r, r.waitUntil)
 		return false
@@ -356,6 +340,13 @@
 			c.wakeFor(r, r.tryAt)
 			return false
 		}
+		// A probe as canary puts no webhook inside its token window. It serves until one has told of health
+		// that webhooks did not find.
+		if c.MayProbe && !c.shallow {
+			r.probing, r.tryAt = true, c.now+c.canaryPause()
+			c.host.Probe(e.id)
+			return false
+		}
 		return true
 	}
 	if r.out >= c.bound(r) || c.silent(r) {
@@ -406,7 +397,7 @@
 
 // choose takes the first endpoint of the ranked order that has room.
 func (c *Control) choose(w *webhook) verdict {
-	if c.pick = c.joinable(w); c.pick != nil {
+	if c.pick != nil {
 		return pass
 	}
 	each := math.Ceil(float64(c.Slots) * fullShare)
@@ -414,7 +405,7 @@
 		each = math.Ceil(float64(c.bound(w.dest.shared)) / float64(n))
 	}
 	for _, e := range w.dest.endpoints {
-		if e.out >= int(each) || e.limit > 0 && e.out >= e.limit || !c.inZone(w, e) || !c.opens(e.route) {
+		if float64(e.out) >= each || e.limit > 0 && float64(e.out) >= e.limit || !c.inZone(w, e) || !c.opens(e) {
 			continue
 		}
 		if e.fails >= sickRow && !e.route.sick && (c.now < e.tryAt || e.out > 0) {
@@ -452,9 +443,8 @@
 	if w.call.sick {
 		e.open = nil // a canary goes alone
 	}
-	w.queued = false
+	w.queued, w.sentAt = false, c.now
 	w.attempts++
-	w.sentAt = c.now
 	c.host.Attempt(w.id, e.id, c.patience(w, e))
 	return pass
 }
@@ -505,6 +495,7 @@
 	}
 	if t := c.turns[w.key]; t != nil && w.evt.Ordered && what.MayStillRun() {
 		t.restUntil = max(t.restUntil, c.now+c.TurnGap)
+		c.dues.Add(int64(t.restUntil), nil)
 	}
 	if ended || w.ended {
 		c.forget(w)
@@ -527,7 +518,7 @@
 	}
 	c.dues.Add(int64(w.readyAt), w)
 	c.dues.Add(int64(c.lastSend(w)), w)
-	c.enqueue(w)
+	w.enqueue()
 }
 
 // delay is the design's schedule: min(m, random()*2^i) while i <= 2*log2(m), then evenly 80-100% of m. Past
@@ -544,10 +535,10 @@
 // finish gives the final answer at once: a rejection where no attempt may have run, with a time to come back,
 // else a dead letter.
 func (c *Control) finish(w *webhook) {
-	if w.mayRun == never {
-		c.host.Reject(w.id, min(max(w.dest.shared.waitUntil-c.now, 0), c.MaxAdvice))
-	} else {
+	if w.mayRun != never {
 		c.host.DeadLetter(w.id)
+	} else {
+		c.host.Reject(w.id, min(max(w.dest.shared.waitUntil-c.now, 0), c.MaxAdvice))
 	}
 	c.forget(w)
 }
@@ -586,7 +577,7 @@
 	switch what {
 	case gateway.Delivered:
 		e.mean, r.mean, c.mean = blend(e.mean, took), blend(r.mean, took), blend(c.mean, took)
-		e.fails, r.fails, r.refused = 0, 0, 0
+		e.fails, r.fails, r.refused, r.probed = 0, 0, 0, false
 		e.okAt = c.now
 		r.failing -= smooth * r.failing
 		r.lost -= smooth * r.lost
@@ -611,7 +602,7 @@
 	case gateway.NotSent, gateway.Cancelled:
 	default:
 		if what == gateway.ConnectFailed && e.out > 1 && c.now-e.okAt < 2*c.ConnectTimeout {
-			e.limit = e.out - 1 // a connection cap, not an outage: calls succeed beside it
+			e.limit = float64(e.out - 1) // a connection cap, not an outage: calls succeed beside it
 			return
 		}
 		if what == gateway.TimedOut {
@@ -641,6 +632,7 @@
 	r.tryAt = max(r.tryAt, c.now+c.canaryPause())
 	if !r.sick {
 		r.sick = true
+		c.shallow = c.shallow || r.probed
 		c.host.Log(fmt.Sprintf("endpoint %d: destination sick", r.name))
 	}
 }
@@ -667,7 +659,7 @@
 	if e := c.endpoints[ep]; e != nil {
 		e.route.probing = false
 		if what == gateway.Delivered && e.route.sick {
-			e.route.fails, e.route.refused, e.fails = 0, 0, 0
+			e.route.fails, e.route.refused, e.fails, e.route.probed = 0, 0, 0, true
 			c.recover(e.route)
 		}
 	}
@@ -685,6 +677,9 @@
 	c.host.Wake(gateway.Second/2, timerPeriod)
 	for _, d := range c.order {
 		c.rank(d)
+		for _, e := range d.endpoints { // a cap on connections may have been an outage's first sign: try again
+			e.limit *= 1 + capGrows
+		}
 	}
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -32,6 +32,7 @@
 	armed     gateway.Micros
 	mean      float64 // answer time in µs over all routes, smoothed
 	lost      float64 // share of late calls that timed out, over all routes, smoothed
+	shallow   bool    // a probe has told of health that webhooks did not find
 	shedding  bool
 	stages    []func(*webhook) verdict
 	pick      *endpoint // the endpoint stage's choice for the send stage
@@ -83,7 +84,7 @@
 	route  *route
 	listed bool
 	out    int            // calls out
-	limit  int            // calls out at most, 0: no cap met
+	limit  float64        // calls out at most, 0: no cap met
 	mean   float64        // answer time in µs, smoothed
 	fails  int            // failures in a row
 	okAt   gateway.Micros // last delivery
@@ -110,7 +111,8 @@
 	refused   int            // refusals in a row
 	fails     int            // failures in a row
 	sick      bool
-	probing   bool
+	probing   bool           // a probe is out
+	probed    bool           // the last good news was a probe's
 	tryAt     gateway.Micros // sick: next canary
 	coldSince gateway.Micros // first success after an outage, or never
 }
@@ -125,6 +127,12 @@
 	queue     []*webhook  // held, not out
 }
 
+// enqueue puts a webhook into its destination's queue.
+func (w *webhook) enqueue() {
+	w.queued = true
+	w.dest.queue = append(w.dest.queue, w)
+}
+
 // prune drops from the queue what is no longer held there.
 func (d *destination) prune() {
 	d.queue = slices.DeleteFunc(d.queue, func(w *webhook) bool { return !w.queued })
