--- a/control/control.go
+++ b/control/control.go
@@ -349,7 +349,8 @@
 		}
 		return true
 	}
-	if r.out >= c.bound(r) || c.silent(r) {
+	// Ailing routes leave half the slots to the well ones: slow, failing or silent, a few of them would take all.
+	if r.out >= c.bound(r) || c.silent(r) || c.ailing(r) && float64(c.out) >= sickShare*float64(c.Slots) {
 		return false
 	}
 	rate, depth := c.rate(r)
@@ -382,12 +383,21 @@
 // bound is how many calls a route may have out: its window, up to a share of the slots.
 func (c *Control) bound(r *route) int {
 	share := fullShare
-	if r.failing > sickAt/2 || r.mean > slowBy*c.mean {
+	if c.ailing(r) {
 		share = sickShare
 	}
 	return max(int(min(r.window, share*float64(c.Slots))), 1)
 }
 
+// ailing tells whether a route fails, or is slow by its answers or by the one it owes.
+func (c *Control) ailing(r *route) bool {
+	owed := 0.0
+	if r.out > 0 {
+		owed = float64(c.now - r.heardAt)
+	}
+	return r.failing > sickAt/2 || max(r.mean, owed) > slowBy*c.mean
+}
+
 // silent guards the slots against a route that hangs, before the first time-out tells of it. It also covers
 // short stalls, where a call sent now would only queue. It could hold back a route whose answers vary widely,
 // which is why it takes two calls out.
