--- a/control/control.go
+++ b/control/control.go
@@ -350,7 +350,7 @@
 		return true
 	}
 	// Ailing routes leave half the slots to the well ones: slow, failing or silent, a few of them would take all.
-	if r.out >= c.bound(r) || c.silent(r) || c.ailing(r) && float64(c.out) >= sickShare*float64(c.Slots) {
+	if r.out >= c.bound(r) || c.silent(r) || c.ailing(r) && float64(c.ailingOut()) >= sickShare*float64(c.Slots) {
 		return false
 	}
 	rate, depth := c.rate(r)
@@ -389,13 +389,22 @@
 	return max(int(min(r.window, share*float64(c.Slots))), 1)
 }
 
+func (c *Control) ailingOut() (n int) {
+	for _, d := range c.order {
+		if d.shared.out > 0 && c.ailing(d.shared) {
+			n += d.shared.out
+		}
+	}
+	return n
+}
+
 // ailing tells whether a route fails, or is slow by its answers or by the one it owes.
 func (c *Control) ailing(r *route) bool {
 	owed := 0.0
 	if r.out > 0 {
 		owed = float64(c.now - r.heardAt)
 	}
-	return r.failing > sickAt/2 || max(r.mean, owed) > slowBy*c.mean
+	return r.failing > sickAt/2 || max(r.mean, owed) > slowBy*r.usual
 }
 
 // silent guards the slots against a route that hangs, before the first time-out tells of it. It also covers
@@ -587,6 +596,9 @@
 	switch what {
 	case gateway.Delivered:
 		e.mean, r.mean, c.mean = blend(e.mean, took), blend(r.mean, took), blend(c.mean, took)
+		if r.usual += (r.mean - r.usual) * smooth / 8; r.usual <= float64(took)/8 {
+			r.usual = r.mean
+		}
 		e.fails, r.fails, r.refused, r.probed = 0, 0, 0, false
 		e.okAt = c.now
 		r.failing -= smooth * r.failing
