--- a/control/control.go
+++ b/control/control.go
@@ -197,11 +197,7 @@
 func (c *Control) TurnOver() {
 	c.now = c.host.Now()
 	c.turn++
-	for {
-		w, ok := c.dues.Take(int64(c.now))
-		if !ok {
-			break
-		}
+	for w, ok := c.dues.Take(int64(c.now)); ok; w, ok = c.dues.Take(int64(c.now)) {
 		// Guards against a webhook lost: whatever holds it, it ends when it can no longer be sent.
 		if w != nil && !w.ended && w.call == nil && c.now >= c.lastSend(w) {
 			c.finish(w)
@@ -349,8 +345,7 @@
 		}
 		return true
 	}
-	// Ailing routes leave half the slots to the well ones: slow, failing or silent, a few of them would take all.
-	if r.out >= c.bound(r) || c.silent(r) || c.ailing(r) && float64(c.ailingOut()) >= sickShare*float64(c.Slots) {
+	if r.out >= c.bound(r) || c.silent(r) {
 		return false
 	}
 	rate, depth := c.rate(r)
@@ -383,30 +378,12 @@
 // bound is how many calls a route may have out: its window, up to a share of the slots.
 func (c *Control) bound(r *route) int {
 	share := fullShare
-	if c.ailing(r) {
+	if r.failing > sickAt/2 || r.mean > slowBy*c.mean {
 		share = sickShare
 	}
 	return max(int(min(r.window, share*float64(c.Slots))), 1)
 }
 
-func (c *Control) ailingOut() (n int) {
-	for _, d := range c.order {
-		if d.shared.out > 0 && c.ailing(d.shared) {
-			n += d.shared.out
-		}
-	}
-	return n
-}
-
-// ailing tells whether a route fails, or is slow by its answers or by the one it owes.
-func (c *Control) ailing(r *route) bool {
-	owed := 0.0
-	if r.out > 0 {
-		owed = float64(c.now - r.heardAt)
-	}
-	return r.failing > sickAt/2 || max(r.mean, owed) > slowBy*r.usual
-}
-
 // silent guards the slots against a route that hangs, before the first time-out tells of it. It also covers
 // short stalls, where a call sent now would only queue. It could hold back a route whose answers vary widely,
 // which is why it takes two calls out.
@@ -596,9 +573,6 @@
 	switch what {
 	case gateway.Delivered:
 		e.mean, r.mean, c.mean = blend(e.mean, took), blend(r.mean, took), blend(c.mean, took)
-		if r.usual += (r.mean - r.usual) * smooth / 8; r.usual <= float64(took)/8 {
-			r.usual = r.mean
-		}
 		e.fails, r.fails, r.refused, r.probed = 0, 0, 0, false
 		e.okAt = c.now
 		r.failing -= smooth * r.failing
--- a/control/state.go
+++ b/control/state.go
@@ -106,7 +106,6 @@
 	wakeAt    gateway.Micros // wake already asked for
 	heardAt   gateway.Micros // last outcome, or first send since it was idle
 	mean      float64        // answer time in µs, smoothed; 0: none yet
-	usual     float64        // the same over a longer time
 	failing   float64        // share of late calls that failed, smoothed
 	lost      float64        // share of late calls that timed out, smoothed
 	refused   int            // refusals in a row
