A route is sick only when none of its endpoints is well; scarce slots go to quick answers

Covers any partial outage. Harm: a whole outage is seen one failure an endpoint later; slow destinations wait longest while slots are scarce.

--- a/control/control.go
+++ b/control/control.go
@@ -20,7 +20,7 @@
 	"rowanlink/internal/mwc"
 )
 
-// The tuned values: ratios. docs/design.md tells what each trades and how flat the result is around it.
+// The tuned values. docs/design.md tells what each trades and how flat the result is around it.
 const (
 	fullShare  = 0.75 // of the slots, to one route
 	sickShare  = 0.5  // of the slots, to one route that is failing or slow, and to all sick ones together
@@ -241,7 +241,7 @@
 // webhook that may have run counts as in time: past its window it would be a dead letter.
 func (c *Control) before(a, b *webhook) int {
 	tier := func(w *webhook) (t int) {
-		if c.late(w) && (w.mayRun == never || w.evt.Repeat != gateway.Tokened) {
+		if c.now+gateway.Micros(w.dest.shared.mean) > w.target && (w.mayRun == never || w.evt.Repeat != gateway.Tokened) {
 			t = 1
 		}
 		if w.over {
@@ -253,16 +253,16 @@
 	if ta != tb {
 		return ta - tb
 	}
+	// While slots are scarce those go first that give them back soonest: a few slow destinations would take all.
+	if ra, rb := a.dest.shared, b.dest.shared; ra != rb && float64(c.out) > fullShare*float64(c.Slots) {
+		return cmp.Compare(ra.mean, rb.mean)
+	}
 	if ta&1 == 1 {
 		return cmp.Compare(b.target, a.target)
 	}
 	return cmp.Compare(a.target, b.target)
 }
 
-func (c *Control) late(w *webhook) bool {
-	return c.now+gateway.Micros(w.dest.shared.mean) > w.target
-}
-
 // expiry ends what can no longer be delivered.
 func (c *Control) expiry(w *webhook) verdict {
 	if c.now >= c.lastSend(w) {
@@ -439,8 +439,7 @@
 	if w.call.sick {
 		e.open = nil // a canary goes alone
 	}
-	w.queued, w.sentAt = false, c.now
-	w.attempts++
+	w.queued, w.sentAt, w.attempts = false, c.now, w.attempts+1
 	c.host.Attempt(w.id, e.id, c.patience(w, e))
 	return pass
 }
@@ -615,7 +614,9 @@
 		if e.fails >= sickRow {
 			e.tryAt = c.now + c.canaryPause()
 		}
-		if r.fails >= sickRow || r.failing > sickAt {
+		// One endpoint that fails among well ones is left out by itself: the route is sick when none is well.
+		well := func(o *endpoint) bool { return o.route == r && o.fails == 0 }
+		if r.failing > sickAt || r.fails >= sickRow && !slices.ContainsFunc(e.dest.endpoints, well) {
 			c.sicken(r)
 		}
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -182,6 +182,59 @@
 	assert.LessOrEqual(t, float64(reached), f.FallMultiple*(f.StartCapacity+0.1)*10*2)
 }
 
+func TestOneDeadEndpointLeavesTheOtherInUse(t *testing.T) {
+	s := begin(plainFacts(), 0)
+	delivered := 0
+	for id := range gateway.WebhookID(60) {
+		s.take(id, 0, 0)
+		s.run(sec / 10)
+		for _, x := range s.h.sent {
+			if w := s.held[x.id]; w != nil && w.call != nil && w.call.ep.id == 0 {
+				s.came(x.id, gateway.Reset, 0)
+			} else if w != nil && w.call != nil {
+				delivered++
+				s.came(x.id, gateway.Delivered, 0)
+			}
+		}
+	}
+	assert.False(t, s.dests[0].shared.sick)
+	assert.Greater(t, delivered, 50)
+}
+
+func TestLostAnswersShortenPatience(t *testing.T) {
+	s := begin(plainFacts(), 0)
+	for id := range gateway.WebhookID(20) {
+		s.take(id, 0, 0)
+		s.run(sec / 10)
+		what := gateway.Delivered
+		if id > 10 && id%2 == 0 {
+			what = gateway.TimedOut
+		}
+		s.came(id, what, 0)
+	}
+	first, last := s.h.sent[0].patience, s.h.sent[len(s.h.sent)-1].patience
+	assert.Equal(t, 14*sec, first)
+	assert.Less(t, last, sec)
+}
+
+func TestProbeIsTheCanaryWhereAllowed(t *testing.T) {
+	f := plainFacts()
+	f.MayProbe = true
+	s := begin(f, 0)
+	for id := range gateway.WebhookID(9) {
+		s.take(id, 1, 0)
+		s.run(sec / 10)
+		s.came(id, gateway.Errored, 0)
+	}
+	n := len(s.h.sent)
+	s.run(2 * sec)
+	assert.Len(t, s.h.probes, 1, "one at a time")
+	assert.Len(t, s.h.sent, n, "no webhook goes to a sick destination")
+	s.Probed(0, gateway.Delivered, sec/10)
+	s.run(3 * sec)
+	assert.Greater(t, len(s.h.sent), n)
+}
+
 func TestSameEventsSameActions(t *testing.T) {
 	play := func() []sent {
 		s := begin(plainFacts(), 0, 1, 2)
