--- a/control/control.go
+++ b/control/control.go
@@ -250,32 +250,19 @@
 		return t
 	}
 	ta, tb := tier(a), tier(b)
-	// While slots are scarce what earns most for its time in one goes first: a few slow destinations would
-	// take them all.
-	if a.dest != b.dest && float64(c.out) > fullShare*float64(c.Slots) {
-		if by := cmp.Compare(c.worth(b)/b.dest.shared.mean, c.worth(a)/a.dest.shared.mean); by != 0 {
-			return by
-		}
-	}
 	if ta != tb {
 		return ta - tb
 	}
+	// While slots are scarce those go first that give them back soonest: a few slow destinations would take all.
+	if ra, rb := a.dest.shared, b.dest.shared; ra != rb && float64(c.out) > fullShare*float64(c.Slots) {
+		return cmp.Compare(ra.mean, rb.mean)
+	}
 	if ta&1 == 1 {
 		return cmp.Compare(b.target, a.target)
 	}
 	return cmp.Compare(a.target, b.target)
 }
 
-// worth is the value that a delivery would earn now.
-func (c *Control) worth(w *webhook) float64 {
-	late := (c.now - w.target).Seconds() / (w.ttl - w.target).Seconds()
-	v := 1 - (1-w.evt.LateValue)*min(max(late, 0), 1)
-	if w.over {
-		v *= c.OverShare
-	}
-	return v * w.evt.Value
-}
-
 // expiry ends what can no longer be delivered.
 func (c *Control) expiry(w *webhook) verdict {
 	if c.now >= c.lastSend(w) {
