A route failing most calls but not all is held at the cold rate, not closed

Cause: at fast errors two calls in five still deliver; closed routes let out a canary a second. Covers any partial failure. Harm: more calls to a destination that fails them.

--- a/control/control.go
+++ b/control/control.go
@@ -616,8 +616,10 @@
 		}
 		// One endpoint that fails among well ones is left out by itself: the route is sick when none is well.
 		well := func(o *endpoint) bool { return o.route == r && o.fails == 0 }
-		if r.failing > sickAt || r.fails >= sickRow && !slices.ContainsFunc(e.dest.endpoints, well) {
+		if r.fails >= sickRow && !slices.ContainsFunc(e.dest.endpoints, well) {
 			c.sicken(r)
+		} else if r.failing > sickAt && !r.sick {
+			r.coldSince = c.now
 		}
 	}
 }
