--- a/control/control.go
+++ b/control/control.go
@@ -29,7 +29,7 @@
 	patienceBy = 0.7  // patience, as a share of the tightest of TTL and token window
 	lossBy     = 6.0  // how fast patience shrinks with the share of answers lost
 	tailBy     = 6.0  // it shrinks to so many answer times
-	silentBy   = 6.0  // a route is silent when the gap since its last outcome is so many times that expected
+	silentBy   = 4.0  // a route is silent when the gap since its last outcome is so many times that expected
 	slowBy     = 3.0  // a route is slow when its answers take so many times the usual
 	smooth     = 1.0 / 8
 	paceCut    = 0.8  // pace after a refusal
