--- a/control/control.go
+++ b/control/control.go
@@ -320,12 +320,11 @@
 	return slices.ContainsFunc(d.endpoints, func(e *endpoint) bool { return c.opens(e) })
 }
 
-// opens tells whether an endpoint's route takes one more call now, and sees to a wake when it will.
+// opens tells whether an endpoint's route takes one more call now.
 func (c *Control) opens(e *endpoint) bool {
 	r := e.route
 	if c.now < r.waitUntil { // a told wait holds every send, whatever the webhook
-		c.wakeFor(r, r.waitUntil)
-		return false
+		return c.wakeFor(r, r.waitUntil)
 	}
 	if r.sick {
 		// One canary at a time; all sick routes together hold a bounded part of the slots.
@@ -333,8 +332,7 @@
 			return false
 		}
 		if c.now < r.tryAt {
-			c.wakeFor(r, r.tryAt)
-			return false
+			return c.wakeFor(r, r.tryAt)
 		}
 		// A probe as canary puts no webhook inside its token window. It serves until one has told of health
 		// that webhooks did not find.
@@ -351,17 +349,18 @@
 	rate, depth := c.rate(r)
 	r.tokens, r.tokensAt = min(r.tokens+rate*(c.now-r.tokensAt).Seconds(), depth), c.now
 	if r.tokens < 1 {
-		c.wakeFor(r, c.now+gateway.Micros(math.Ceil((1-r.tokens)/rate*float64(gateway.Second))))
-		return false
+		return c.wakeFor(r, c.now+gateway.Micros(math.Ceil((1-r.tokens)/rate*float64(gateway.Second))))
 	}
 	return true
 }
 
-func (c *Control) wakeFor(r *route, at gateway.Micros) {
+// wakeFor sees to a turn at the time when a route that is not open may be.
+func (c *Control) wakeFor(r *route, at gateway.Micros) (open bool) {
 	if r.wakeAt != at {
 		r.wakeAt = at
 		c.dues.Add(int64(at), nil)
 	}
+	return false
 }
 
 // rate is how many calls a second a route is let, and how many may go at once. After an outage it is this
