--- a/control/control.go
+++ b/control/control.go
@@ -208,11 +208,17 @@
 		if len(d.queue) == 0 || !c.anyOpen(d) {
 			continue
 		}
+		before := len(c.ready)
 		for _, w := range d.queue {
 			if w.queued && w.readyAt <= c.now {
 				c.ready = append(c.ready, w)
 			}
 		}
+		// Where webhooks share a call, those that come while one is out gather for the next: slots and limits
+		// count calls. It costs them an answer time at most.
+		if d.shared.out > 0 && len(c.ready)-before < d.batch {
+			c.ready = c.ready[:before]
+		}
 	}
 	slices.SortStableFunc(c.ready, c.before)
 	for _, w := range c.ready {
