--- a/control/control.go
+++ b/control/control.go
@@ -208,17 +208,11 @@
 		if len(d.queue) == 0 || !c.anyOpen(d) {
 			continue
 		}
-		before := len(c.ready)
 		for _, w := range d.queue {
 			if w.queued && w.readyAt <= c.now {
 				c.ready = append(c.ready, w)
 			}
 		}
-		// Where webhooks share a call, those that come while one is out gather for the next: slots and limits
-		// count calls. It costs them an answer time at most.
-		if d.shared.out > 0 && len(c.ready)-before < d.batch {
-			c.ready = c.ready[:before]
-		}
 	}
 	slices.SortStableFunc(c.ready, c.before)
 	for _, w := range c.ready {
@@ -247,7 +241,7 @@
 // webhook that may have run counts as in time: past its window it would be a dead letter.
 func (c *Control) before(a, b *webhook) int {
 	tier := func(w *webhook) (t int) {
-		if c.now+gateway.Micros(w.dest.shared.mean) > w.target && (w.mayRun == never || w.evt.Repeat != gateway.Tokened) {
+		if c.now+gateway.Micros(2*w.dest.shared.mean) > w.target && (w.mayRun == never || w.evt.Repeat != gateway.Tokened) {
 			t = 1
 		}
 		if w.over {
