--- a/control/control.go
+++ b/control/control.go
@@ -241,7 +241,7 @@
 // webhook that may have run counts as in time: past its window it would be a dead letter.
 func (c *Control) before(a, b *webhook) int {
 	tier := func(w *webhook) (t int) {
-		if c.now+gateway.Micros(2*w.dest.shared.mean) > w.target && (w.mayRun == never || w.evt.Repeat != gateway.Tokened) {
+		if c.now+gateway.Micros(w.dest.shared.mean) > w.target && (w.mayRun == never || w.evt.Repeat != gateway.Tokened) {
 			t = 1
 		}
 		if w.over {
