--- a/control/control.go
+++ b/control/control.go
@@ -571,7 +571,7 @@
 	switch what {
 	case gateway.Delivered:
 		e.mean, r.mean, c.mean = blend(e.mean, took), blend(r.mean, took), blend(c.mean, took)
-		e.fails, r.fails, r.refused, r.probed = 0, 0, 0, false
+		e.fails, r.refused, r.probed = 0, 0, false
 		e.okAt = c.now
 		r.failing -= smooth * r.failing
 		r.lost -= smooth * r.lost
@@ -608,14 +608,13 @@
 			}
 		}
 		e.fails++
-		r.fails++
 		r.failing += smooth * (1 - r.failing)
 		if e.fails >= sickRow {
 			e.tryAt = c.now + c.canaryPause()
 		}
 		// One endpoint that fails among well ones is left out by itself: the route is sick when none is well.
-		well := func(o *endpoint) bool { return o.route == r && o.fails == 0 }
-		if r.fails >= sickRow && !slices.ContainsFunc(e.dest.endpoints, well) {
+		well := func(o *endpoint) bool { return o.route == r && o.fails < sickRow }
+		if !slices.ContainsFunc(e.dest.endpoints, well) {
 			c.sicken(r)
 		} else if r.failing > sickAt && !r.sick {
 			r.coldSince = c.now
@@ -657,7 +656,7 @@
 	if e := c.endpoints[ep]; e != nil {
 		e.route.probing = false
 		if what == gateway.Delivered && e.route.sick {
-			e.route.fails, e.route.refused, e.fails, e.route.probed = 0, 0, 0, true
+			e.route.refused, e.fails, e.route.probed = 0, 0, true
 			c.recover(e.route)
 		}
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -109,7 +109,6 @@
 	failing   float64        // share of late calls that failed, smoothed
 	lost      float64        // share of late calls that timed out, smoothed
 	refused   int            // refusals in a row
-	fails     int            // failures in a row
 	sick      bool
 	probing   bool           // a probe is out
 	probed    bool           // the last good news was a probe's
