--- a/control/control_test.go
+++ b/control/control_test.go
@@ -167,15 +167,10 @@
 	reached := 0
 	for s.h.now < back+2*sec {
 		s.run(5000)
-		for id := range gateway.WebhookID(90) {
-			if w := s.held[id]; w != nil && w.call != nil {
-				if s.h.now < back {
-					s.report(id, gateway.ConnectFailed, 0)
-				} else {
-					reached++
-					s.report(id, gateway.Delivered, 0)
-				}
-			}
+		if s.h.now < back {
+			s.all(always(gateway.ConnectFailed))
+		} else {
+			reached += s.all(always(gateway.Delivered))
 		}
 	}
 	assert.Positive(t, reached)
@@ -188,14 +183,13 @@
 	for id := range gateway.WebhookID(60) {
 		s.take(id, 0, 0)
 		s.run(sec / 10)
-		for _, x := range s.h.sent {
-			if w := s.held[x.id]; w != nil && w.call != nil && w.call.ep.id == 0 {
-				s.came(x.id, gateway.Reset, 0)
-			} else if w != nil && w.call != nil {
-				delivered++
-				s.came(x.id, gateway.Delivered, 0)
+		s.all(func(ep gateway.EndpointID) gateway.Outcome {
+			if ep == 0 {
+				return gateway.Reset
 			}
-		}
+			delivered++
+			return gateway.Delivered
+		})
 	}
 	assert.False(t, s.dests[0].shared.sick)
 	assert.Greater(t, delivered, 50)
@@ -221,11 +215,12 @@
 	f := plainFacts()
 	f.MayProbe = true
 	s := begin(f, 0)
-	for id := range gateway.WebhookID(9) {
+	for id := range gateway.WebhookID(20) {
 		s.take(id, 1, 0)
 		s.run(sec / 10)
-		s.came(id, gateway.Errored, 0)
+		s.all(always(gateway.Errored))
 	}
+	assert.True(t, s.dests[0].shared.sick)
 	n := len(s.h.sent)
 	s.run(2 * sec)
 	assert.Len(t, s.h.probes, 1, "one at a time")
--- a/control/helpers_test.go
+++ b/control/helpers_test.go
@@ -99,6 +99,22 @@
 	}
 }
 
+// all reports the same outcome, if there is one to report, for each attempt that is out and closes the turn.
+func (s *story) all(of func(ep gateway.EndpointID) gateway.Outcome) (n int) {
+	for _, x := range s.h.sent {
+		if w := s.held[x.id]; w != nil && w.call != nil {
+			s.report(x.id, of(w.call.ep.id), 0)
+			n++
+		}
+	}
+	s.TurnOver()
+	return n
+}
+
+func always(what gateway.Outcome) func(gateway.EndpointID) gateway.Outcome {
+	return func(gateway.EndpointID) gateway.Outcome { return what }
+}
+
 // run moves the clock on in small turns, waking the module when its timers are due.
 func (s *story) run(span gateway.Micros) {
 	for until := s.h.now + span; s.h.now < until; {
