--- a/control/control.go
+++ b/control/control.go
@@ -42,7 +42,6 @@
 	sickAt     = 0.5  // share of failed calls that does
 	canaryBy   = 0.1  // pause between canaries, over the time to warm
 	coldPart   = 0.75 // of the budget of a cold route that is used
-	capGrows   = 0.05 // growth of a connection cap once met, a period
 	fillTo     = 0.9  // of the buffer
 	overBurst  = 2.0  // seconds of a tenant's share that may come at once
 )
@@ -400,7 +399,7 @@
 		each = math.Ceil(float64(c.bound(w.dest.shared)) / float64(n))
 	}
 	for _, e := range w.dest.endpoints {
-		if float64(e.out) >= each || e.limit > 0 && float64(e.out) >= e.limit || !c.inZone(w, e) || !c.opens(e) {
+		if float64(e.out) >= each || !c.inZone(w, e) || !c.opens(e) {
 			continue
 		}
 		if e.fails >= sickRow && !e.route.sick && (c.now < e.tryAt || e.out > 0) {
@@ -572,7 +571,6 @@
 	case gateway.Delivered:
 		e.mean, r.mean, c.mean = blend(e.mean, took), blend(r.mean, took), blend(c.mean, took)
 		e.fails, r.refused, r.probed = 0, 0, false
-		e.okAt = c.now
 		r.failing -= smooth * r.failing
 		r.lost -= smooth * r.lost
 		c.lost -= smooth / 4 * c.lost
@@ -595,10 +593,6 @@
 		}
 	case gateway.NotSent, gateway.Cancelled:
 	default:
-		if what == gateway.ConnectFailed && e.out > 1 && c.now-e.okAt < 2*c.ConnectTimeout {
-			e.limit = float64(e.out - 1) // a connection cap, not an outage: calls succeed beside it
-			return
-		}
 		if what == gateway.TimedOut {
 			r.window = max(r.window/2, 1)
 			r.lost += smooth * (1 - r.lost)
@@ -674,9 +668,6 @@
 	c.host.Wake(gateway.Second/2, timerPeriod)
 	for _, d := range c.order {
 		c.rank(d)
-		for _, e := range d.endpoints { // a cap on connections may have been an outage's first sign: try again
-			e.limit *= 1 + capGrows
-		}
 	}
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -84,10 +84,8 @@
 	route  *route
 	listed bool
 	out    int            // calls out
-	limit  float64        // calls out at most, 0: no cap met
 	mean   float64        // answer time in µs, smoothed
 	fails  int            // failures in a row
-	okAt   gateway.Micros // last delivery
 	tryAt  gateway.Micros // sick: not before then
 	open   *call          // call of this turn that still has room
 }
