Long silent calls are called off while every slot is taken; expiry by due times alone

Covers any hang over many destinations. Harm: work cut off that would have ended; at-most-once webhooks are left alone.

--- a/benchwire/facts.go
+++ b/benchwire/facts.go
@@ -70,6 +70,7 @@
 		OverShare: p.number("overShareWorth"),
 		Slots:     p.count("familyInfo.slots"), Buffer: p.count("limits.openCap"),
 		MaxAttempts: p.count("limits.maxAttempts"), MayProbe: p.flag("limits.mayProbe"),
+		MayCancel:      p.flag("limits.cancel"),
 		RatesStated:    p.values["weightSource"] == "nominal" || p.values["weightSource"] == "rough",
 		ConnectTimeout: p.under("limits.connectTimeout"), Tick: p.atLeast("period"),
 		TurnGap: p.atLeast("rules.turnGap"), StartCapacity: p.number("rules.startCapacity"),
--- a/control/control.go
+++ b/control/control.go
@@ -1,13 +1,14 @@
 // Package control is the decision module: every decision, table and tuned value of rowanlink is in this file.
 //
-// Callers make one instance a dispatcher with New and call it turn by turn through gateway.Module: the endpoint
-// list, webhooks taken, outcomes, probe results, withdrawals, wakes, and TurnOver when all of one moment was told.
-// It acts through gateway.Host. Both are defined in gateway/gateway.go, the records kept in control/state.go.
-// Nothing is shared between instances.
+// Callers make one instance a dispatcher with New and call it turn by turn through gateway.Module: the
+// endpoint list, webhooks taken, outcomes, probe results, withdrawals, wakes, and TurnOver when all of one
+// moment was told. It acts through gateway.Host. Both are defined in gateway/gateway.go, the records kept in
+// control/state.go. Nothing is shared between instances.
 //
-// A webhook passes a chain of stages - expiry, order, schedule, slots, endpoint, send - each of which passes it
-// on, holds it until a later turn, or ends it. An outcome runs back through them from the last.
-// docs/design.md tells stage by stage what is the design's and what is an exception, and when that acts.
+// A webhook passes a chain of stages - order, schedule, slots, endpoint, send - each of which passes it on
+// or holds it until a later turn. An outcome runs back through them from the last. Whatever holds a
+// webhook, its due time ends it when it can no longer be sent. docs/design.md tells stage by stage what is
+// the design's and what is an exception, and when that acts.
 package control
 
 import (
@@ -52,12 +53,11 @@
 	timerDue
 )
 
-type verdict int
+type verdict bool
 
 const (
-	pass verdict = iota
-	hold
-	end
+	pass verdict = true
+	hold verdict = false
 )
 
 // New starts a dispatcher that knows nothing but the facts. Facts left out are made harmless.
@@ -87,7 +87,7 @@
 		perS /= float64(f.Fleet)
 		c.tenants = append(c.tenants, tenant{perS: perS, level: perS * overBurst, at: c.now})
 	}
-	c.stages = []func(*webhook) verdict{c.expiry, c.inTurn, c.schedule, c.slots, c.choose, c.send}
+	c.stages = []func(*webhook) verdict{c.inTurn, c.schedule, c.slots, c.choose, c.send}
 	host.Wake(gateway.Second/2, timerPeriod)
 	return c
 }
@@ -146,8 +146,8 @@
 }
 
 // Take takes on a webhook. From here on it is owed exactly one final answer before its TTL.
-func (c *Control) Take(id gateway.WebhookID, evt gateway.EventTypeID, tenant gateway.TenantID, key gateway.Key,
-	ttl gateway.Micros, dest gateway.DestinationID) {
+func (c *Control) Take(id gateway.WebhookID, evt gateway.EventTypeID, tenant gateway.TenantID,
+	key gateway.Key, ttl gateway.Micros, dest gateway.DestinationID) {
 	c.now = c.host.Now()
 	row := &c.events[min(int(evt), len(c.events)-1)]
 	w := &webhook{id: id, evt: row, dest: c.destination(dest), key: key, ttl: ttl, readyAt: c.now, mayRun: never}
@@ -182,8 +182,8 @@
 // lastAnswer is when a webhook that is not out must have its answer: a tick to spare before the TTL.
 func (c *Control) lastAnswer(w *webhook) gateway.Micros { return w.ttl - 2*c.Tick }
 
-// lastSend is the last moment for an attempt: in time for an answer and, where a tokened webhook may have run,
-// inside the time for which the destination remembers its token.
+// lastSend is the last moment for an attempt: in time for an answer and, where a tokened webhook may have
+// run, inside the time for which the destination remembers its token.
 func (c *Control) lastSend(w *webhook) gateway.Micros {
 	last := c.lastAnswer(w)
 	if w.mayRun != never && w.evt.Repeat == gateway.Tokened {
@@ -197,8 +197,10 @@
 	c.now = c.host.Now()
 	c.turn++
 	for w, ok := c.dues.Take(int64(c.now)); ok; w, ok = c.dues.Take(int64(c.now)) {
-		// Guards against a webhook lost: whatever holds it, it ends when it can no longer be sent.
-		if w != nil && !w.ended && w.call == nil && c.now >= c.lastSend(w) {
+		// Guards against a webhook lost: whatever holds it, it ends in time.
+		if w != nil && w.call != nil {
+			c.chase(w)
+		} else if w != nil && !w.ended && c.now >= c.lastSend(w) {
 			c.finish(w)
 		}
 	}
@@ -208,7 +210,7 @@
 			continue
 		}
 		for _, w := range d.queue {
-			if w.queued && w.readyAt <= c.now {
+			if w.queued {
 				c.ready = append(c.ready, w)
 			}
 		}
@@ -216,10 +218,7 @@
 	slices.SortStableFunc(c.ready, c.before)
 	for _, w := range c.ready {
 		for _, s := range c.stages {
-			if v := s(w); v == end {
-				c.finish(w)
-				break
-			} else if v == hold {
+			if s(w) == hold {
 				break
 			}
 		}
@@ -236,11 +235,12 @@
 
 // before ranks webhooks by the value still to be had. Those inside their tenant's share come first; of them
 // those that can still make the target latency, the nearest to missing it first; then the late ones, youngest
-// first: all lose value alike, so what can't all be delivered in time is given up from the oldest on. A tokened
-// webhook that may have run counts as in time: past its window it would be a dead letter.
+// first: all lose value alike, so what can't all be delivered in time is given up from the oldest on. A
+// tokened webhook that may have run counts as in time: past its window it would be a dead letter.
 func (c *Control) before(a, b *webhook) int {
 	tier := func(w *webhook) (t int) {
-		if c.now+gateway.Micros(w.dest.shared.mean) > w.target && (w.mayRun == never || w.evt.Repeat != gateway.Tokened) {
+		atRisk := w.mayRun != never && w.evt.Repeat == gateway.Tokened
+		if !atRisk && c.now+gateway.Micros(w.dest.shared.mean) > w.target {
 			t = 1
 		}
 		if w.over {
@@ -262,16 +262,8 @@
 	return cmp.Compare(a.target, b.target)
 }
 
-// expiry ends what can no longer be delivered.
-func (c *Control) expiry(w *webhook) verdict {
-	if c.now >= c.lastSend(w) {
-		return end
-	}
-	return pass
-}
-
-// inTurn holds an ordered webhook until each earlier one of its key is over with no attempt out, and the key has
-// rested after one that may still run.
+// inTurn holds an ordered webhook until each earlier one of its key is over with no attempt out, and the key
+// has rested after one that may still run.
 func (c *Control) inTurn(w *webhook) verdict {
 	if !w.evt.Ordered || w.key == 0 {
 		return pass
@@ -282,14 +274,11 @@
 	return pass
 }
 
-// schedule holds a webhook to its own wait and ends one that has no attempt left.
+// schedule holds a webhook to its own wait.
 func (c *Control) schedule(w *webhook) verdict {
 	if w.readyAt > c.now {
 		return hold
 	}
-	if w.attempts >= c.MaxAttempts {
-		return end
-	}
 	return pass
 }
 
@@ -438,6 +427,7 @@
 		e.open = nil // a canary goes alone
 	}
 	w.queued, w.sentAt, w.attempts = false, c.now, w.attempts+1
+	c.dues.Add(int64(c.now+w.evt.Target), w)
 	c.host.Attempt(w.id, e.id, c.patience(w, e))
 	return pass
 }
@@ -446,9 +436,9 @@
 	return gateway.Micros(canaryBy * float64(c.WarmAfter) * (1 + c.chance.Float()) / 1.5)
 }
 
-// patience leaves a slow answer its time; a time-out makes work that may still run and cost the webhook. Where
-// answers get lost it shrinks towards the time that those which come take: lost answers, hangs of one endpoint
-// of several. A destination grown slow raises its answer time and so keeps its patience.
+// patience leaves a slow answer its time; a time-out makes work that may still run and cost the webhook.
+// Where answers get lost it shrinks towards the time that those which come take: lost answers, hangs of one
+// endpoint of several. A destination grown slow raises its answer time and so keeps its patience.
 func (c *Control) patience(w *webhook, e *endpoint) gateway.Micros {
 	p := float64(w.evt.reach)
 	if r := e.route; r.mean > 0 && !r.sick {
@@ -457,6 +447,20 @@
 	return max(min(gateway.Micros(p), w.ttl-c.now), 1)
 }
 
+// chase calls off what a route owes that has said nothing for long, while every slot is taken: a hang over
+// many destinations at once would hold them all until its time-outs. Never an at-most-once webhook: it would
+// be lost.
+func (c *Control) chase(w *webhook) {
+	r := w.call.ep.route
+	long := max(gateway.Micros(tailBy*r.mean), w.evt.Target)
+	unheard := min(c.now-w.sentAt, c.now-r.heardAt)
+	if c.MayCancel && c.out >= c.Slots && w.evt.Repeat != gateway.AtMostOnce && unheard >= long {
+		c.host.Cancel(w.id, w.attempts-1)
+		return
+	}
+	c.dues.Add(int64(c.now+max(long/8, c.Tick)), w)
+}
+
 // Outcome takes what came of an attempt, back through the stages from the last.
 func (c *Control) Outcome(id gateway.WebhookID, ep gateway.EndpointID, what gateway.Outcome,
 	took gateway.Micros, ended bool, wait gateway.Micros) {
@@ -591,9 +595,9 @@
 		if wait > c.TipAfter || r.refused >= fullRow {
 			c.sicken(r)
 		}
-	case gateway.NotSent, gateway.Cancelled:
+	case gateway.NotSent:
 	default:
-		if what == gateway.TimedOut {
+		if what == gateway.TimedOut || what == gateway.Cancelled {
 			r.window = max(r.window/2, 1)
 			r.lost += smooth * (1 - r.lost)
 			c.lost += smooth / 4 * (1 - c.lost)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -211,6 +211,26 @@
 	assert.Less(t, last, sec)
 }
 
+func TestHangOverAllSlotsIsCalledOff(t *testing.T) {
+	f := plainFacts()
+	f.MayCancel, f.Slots = true, 4
+	s := begin(f, 0, 0, 0, 0, 0)
+	id := gateway.WebhookID(0)
+	for ; id < 20; id++ { // all are well at first, and their windows grow
+		s.take(id, 0, gateway.DestinationID(id%5))
+		s.run(sec / 10)
+		s.all(always(gateway.Delivered))
+	}
+	for ; id < 24; id++ {
+		s.take(id, 1+gateway.EventTypeID(id/23), gateway.DestinationID(id%4)) // the last is at-most-once
+	}
+	s.run(2*sec - 10000)
+	assert.Equal(t, 4, s.out)
+	assert.Empty(t, s.h.cancelled, "not before the target latency is over")
+	s.run(sec)
+	assert.Equal(t, []gateway.WebhookID{20, 21, 22}, s.h.cancelled)
+}
+
 func TestProbeIsTheCanaryWhereAllowed(t *testing.T) {
 	f := plainFacts()
 	f.MayProbe = true
--- a/control/helpers_test.go
+++ b/control/helpers_test.go
@@ -22,13 +22,17 @@
 	wakes    map[gateway.TimerID]gateway.Micros
 	logs     []string
 	answers  int
+
+	cancelled []gateway.WebhookID
 }
 
 func (h *fakeHost) Now() gateway.Micros { return h.now }
 func (h *fakeHost) Attempt(id gateway.WebhookID, ep gateway.EndpointID, patience gateway.Micros) {
 	h.sent = append(h.sent, sent{id, ep, h.now, patience})
 }
-func (h *fakeHost) Cancel(gateway.WebhookID, int) {}
+func (h *fakeHost) Cancel(id gateway.WebhookID, attempt int) {
+	h.cancelled = append(h.cancelled, id)
+}
 func (h *fakeHost) Reject(id gateway.WebhookID, advised gateway.Micros) {
 	h.rejected[id] = advised
 	h.answers++
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,6 +85,7 @@
 	Buffer      int // webhooks held at once, sent or not
 	MaxAttempts int
 	MayProbe    bool
+	MayCancel   bool
 	MaxAdvice   Micros // the longest wait that a program heeds after a rejection; 0: none is heeded
 	RatesStated bool   // endpoint lists state the rate that a destination takes
 
