After a refused probe a webhook is the canary

A refusal proves that nothing ran, so that a webhook risks nothing, and only a webhook is told a wait.

--- a/control/control.go
+++ b/control/control.go
@@ -322,9 +322,10 @@
 		if c.now < r.tryAt {
 			return c.wakeFor(r, r.tryAt)
 		}
-		// A probe as canary puts no webhook inside its token window. It serves until one has told of health
+		// A probe as canary puts no webhook inside its token window. It serves while calls there may have run, not
+		// after a refusal: that risks nothing, and only a webhook is told a wait. Nor once one has told of health
 		// that webhooks did not find.
-		if c.MayProbe && !c.shallow {
+		if c.MayProbe && !c.shallow && r.risky {
 			r.probing, r.tryAt = true, c.now+c.canaryPause()
 			c.host.Probe(e.id)
 			return false
@@ -570,7 +571,7 @@
 // judge counts the fate of a call, once for all the webhooks in it.
 func (c *Control) judge(e *endpoint, what gateway.Outcome, took, wait gateway.Micros) {
 	r := e.route
-	r.heardAt = c.now
+	r.heardAt, r.risky = c.now, !what.NeverRan()
 	switch what {
 	case gateway.Delivered:
 		e.mean, r.mean, c.mean = blend(e.mean, took), blend(r.mean, took), blend(c.mean, took)
@@ -652,7 +653,7 @@
 func (c *Control) Probed(ep gateway.EndpointID, what gateway.Outcome, took gateway.Micros) {
 	c.now = c.host.Now()
 	if e := c.endpoints[ep]; e != nil {
-		e.route.probing = false
+		e.route.probing, e.route.risky = false, !what.NeverRan()
 		if what == gateway.Delivered && e.route.sick {
 			e.route.refused, e.fails, e.route.probed = 0, 0, true
 			c.recover(e.route)
--- a/control/state.go
+++ b/control/state.go
@@ -108,6 +108,7 @@
 	lost      float64        // share of late calls that timed out, smoothed
 	refused   int            // refusals in a row
 	sick      bool
+	risky     bool           // the last call or probe may have run
 	probing   bool           // a probe is out
 	probed    bool           // the last good news was a probe's
 	tryAt     gateway.Micros // sick: next canary
