--- a/control/control.go
+++ b/control/control.go
@@ -606,8 +606,9 @@
 				e.mean, r.mean = blend(e.mean, took), blend(r.mean, took)
 			}
 		}
-		e.fails++
-		r.failing += smooth * (1 - r.failing)
+		if e.fails++; e.fails <= sickRow { // what an endpoint left out fails says nothing more of the route
+			r.failing += smooth * (1 - r.failing)
+		}
 		if e.fails >= sickRow {
 			e.tryAt = c.now + c.canaryPause()
 		}
