--- a/control/control.go
+++ b/control/control.go
@@ -108,7 +108,7 @@
 			d.batch, d.apart = max(c.Kinds[l.Kind].Batch, 1), c.Kinds[l.Kind].Apart
 		}
 		if e == nil {
-			e = &endpoint{id: l.Endpoint, zone: l.Zone, dest: d, route: d.shared}
+			e = &endpoint{id: l.Endpoint, zone: l.Zone, dest: d, route: d.shared, limit: math.Inf(1)}
 			if d.apart {
 				e.route = c.newRoute()
 			}
@@ -136,13 +136,11 @@
 }
 
 func (c *Control) destination(id gateway.DestinationID) *destination {
-	d := c.dests[id]
-	if d == nil {
-		d = &destination{id: id, batch: 1, shared: c.newRoute()}
-		c.dests[id] = d
-		c.order = append(c.order, d)
+	if c.dests[id] == nil {
+		c.dests[id] = &destination{id: id, batch: 1, shared: c.newRoute()}
+		c.order = append(c.order, c.dests[id])
 	}
-	return d
+	return c.dests[id]
 }
 
 // Take takes on a webhook. From here on it is owed exactly one final answer before its TTL.
@@ -206,7 +204,7 @@
 	}
 	c.ready = c.ready[:0]
 	for _, d := range c.order {
-		if len(d.queue) == 0 || !c.anyOpen(d) {
+		if len(d.queue) == 0 || !slices.ContainsFunc(d.endpoints, c.opens) {
 			continue
 		}
 		for _, w := range d.queue {
@@ -304,10 +302,6 @@
 	return w.mayRun == never || w.evt.Repeat != gateway.Tokened || !w.evt.TokenByZone || w.zone == e.zone
 }
 
-func (c *Control) anyOpen(d *destination) bool {
-	return slices.ContainsFunc(d.endpoints, func(e *endpoint) bool { return c.opens(e) })
-}
-
 // opens tells whether an endpoint's route takes one more call now.
 func (c *Control) opens(e *endpoint) bool {
 	r := e.route
@@ -389,7 +383,7 @@
 		each = math.Ceil(float64(c.bound(w.dest.shared)) / float64(n))
 	}
 	for _, e := range w.dest.endpoints {
-		if float64(e.out) >= each || !c.inZone(w, e) || !c.opens(e) {
+		if float64(e.out) >= min(each, math.Floor(e.limit)) || !c.inZone(w, e) || !c.opens(e) {
 			continue
 		}
 		if e.fails >= sickRow && !e.route.sick && (c.now < e.tryAt || e.out > 0) {
@@ -575,7 +569,7 @@
 	switch what {
 	case gateway.Delivered:
 		e.mean, r.mean, c.mean = blend(e.mean, took), blend(r.mean, took), blend(c.mean, took)
-		e.fails, r.refused, r.probed = 0, 0, false
+		e.fails, e.okAt, r.refused, r.probed = 0, c.now, 0, false
 		r.failing -= smooth * r.failing
 		r.lost -= smooth * r.lost
 		c.lost -= smooth / 4 * c.lost
@@ -598,6 +592,11 @@
 		}
 	case gateway.NotSent:
 	default:
+		// A cap on connections is no outage: calls succeed beside it. It grows again, as it may be one's start.
+		if what == gateway.ConnectFailed && c.now-e.okAt < 2*c.ConnectTimeout {
+			e.limit = float64(max(e.out-1, 1))
+			return
+		}
 		if what == gateway.TimedOut || what == gateway.Cancelled {
 			r.window = max(r.window/2, 1)
 			r.lost += smooth * (1 - r.lost)
@@ -674,6 +673,9 @@
 	c.host.Wake(gateway.Second/2, timerPeriod)
 	for _, d := range c.order {
 		c.rank(d)
+		for _, e := range d.endpoints {
+			e.limit *= 1 + paceStep
+		}
 	}
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -231,6 +231,29 @@
 	assert.Equal(t, []gateway.WebhookID{20, 21, 22}, s.h.cancelled)
 }
 
+func TestConnectionCapIsNoOutage(t *testing.T) {
+	s := begin(plainFacts(), 0)
+	for id := range gateway.WebhookID(80) {
+		s.take(id, 0, 0)
+		s.run(sec / 20)
+		if id%2 == 1 { // of two calls at an endpoint the second finds no connection
+			seen := map[gateway.EndpointID]bool{}
+			s.all(func(ep gateway.EndpointID) gateway.Outcome {
+				if seen[ep] {
+					return gateway.ConnectFailed
+				}
+				seen[ep] = true
+				return gateway.Delivered
+			})
+		}
+	}
+	for _, e := range s.dests[0].endpoints {
+		assert.Zero(t, e.fails)
+		assert.Less(t, e.limit, 3.0)
+	}
+	assert.Equal(t, never, s.dests[0].shared.coldSince)
+}
+
 func TestProbeIsTheCanaryWhereAllowed(t *testing.T) {
 	f := plainFacts()
 	f.MayProbe = true
--- a/control/state.go
+++ b/control/state.go
@@ -84,7 +84,9 @@
 	route  *route
 	listed bool
 	out    int            // calls out
+	limit  float64        // calls out at most, by the cap on connections met
 	mean   float64        // answer time in µs, smoothed
+	okAt   gateway.Micros // last delivery
 	fails  int            // failures in a row
 	tryAt  gateway.Micros // sick: not before then
 	open   *call          // call of this turn that still has room
