--- a/control/control.go
+++ b/control/control.go
@@ -133,7 +133,7 @@
 func (c *Control) newRoute() *route {
 	// Where no rate is stated, the slots of the whole fleet, each used once a second, stand in for one.
 	perS := float64(c.Slots)
-	return &route{window: 1, stated: perS, pace: perS, step: paceSeek, tokens: 1, tokensAt: c.now, coldSince: never}
+	return &route{window: 1, stated: perS, pace: perS, step: paceSeek, tokensAt: c.now, coldSince: never}
 }
 
 func (c *Control) destination(id gateway.DestinationID) *destination {
@@ -575,7 +575,9 @@
 		r.lost -= smooth * r.lost
 		c.lost -= smooth / 4 * c.lost
 		r.window = min(r.window+1, fullShare*float64(c.Slots))
-		r.pace = min(r.pace+r.step, paceTop*r.stated)
+		if r.tokens < 1 { // nothing is learnt of a limit that is not reached
+			r.pace = min(r.pace+r.step, paceTop*r.stated)
+		}
 		c.recover(r)
 	case gateway.Full:
 		r.window = max(r.window/2, 1)
