--- a/control/control.go
+++ b/control/control.go
@@ -35,7 +35,6 @@
 	smooth     = 1.0 / 8
 	paceCut    = 0.8  // pace after a refusal
 	paceStep   = 0.03 // pace regained a second while all goes well, as a share
-	paceSeek   = 0.12 // the same until the first refusal: a stated rate may be far too low
 	paceTop    = 4.0  // most pace, over the stated rate
 	paceLeast  = 1.0 / 2
 	burstSpan  = 0.5  // seconds of pace that may be sent at once
@@ -133,7 +132,7 @@
 func (c *Control) newRoute() *route {
 	// Where no rate is stated, the slots of the whole fleet, each used once a second, stand in for one.
 	perS := float64(c.Slots)
-	return &route{window: 1, stated: perS, pace: perS, step: paceSeek, tokensAt: c.now, coldSince: never}
+	return &route{window: 1, stated: perS, pace: perS, tokens: 1, tokensAt: c.now, coldSince: never}
 }
 
 func (c *Control) destination(id gateway.DestinationID) *destination {
@@ -575,9 +574,7 @@
 		r.lost -= smooth * r.lost
 		c.lost -= smooth / 4 * c.lost
 		r.window = min(r.window+1, fullShare*float64(c.Slots))
-		if r.tokens < 1 { // nothing is learnt of a limit that is not reached
-			r.pace = min(r.pace+r.step, paceTop*r.stated)
-		}
+		r.pace = min(r.pace+paceStep, paceTop*r.stated)
 		c.recover(r)
 	case gateway.Full:
 		r.window = max(r.window/2, 1)
@@ -585,7 +582,7 @@
 		// Guards against refusals that use up the limit: no other webhook follows at once, and the pace falls.
 		r.tokens = min(r.tokens, 0)
 		if c.now-r.cutAt > gateway.Second/2 {
-			r.cutAt, r.step = c.now, paceStep
+			r.cutAt = c.now
 			r.pace = max(r.pace*paceCut, r.stated*paceLeast)
 		}
 		// Shut and limited look alike but for length: a wait longer than a cold destination would need to
--- a/control/state.go
+++ b/control/state.go
@@ -100,7 +100,6 @@
 	waitUntil gateway.Micros
 	stated    float64 // calls a second, this dispatcher's part
 	pace      float64 // calls a second let out
-	step      float64 // pace gained by a success
 	tokens    float64
 	tokensAt  gateway.Micros
 	cutAt     gateway.Micros // last cut of the pace
