--- a/control/control.go
+++ b/control/control.go
@@ -433,11 +433,11 @@
 
 // patience leaves a slow answer its time; a time-out makes work that may still run and cost the webhook.
 // Where answers get lost it shrinks towards the time that those which come take: lost answers, hangs of one
-// endpoint of several. A destination grown slow raises its answer time and so keeps its patience.
+// endpoint of several. Each time-out in a row doubles it, so that a destination grown slow is waited for.
 func (c *Control) patience(w *webhook, e *endpoint) gateway.Micros {
 	p := float64(w.evt.reach)
 	if r := e.route; r.mean > 0 && !r.sick {
-		p = max(p*(1-lossBy*max(r.lost, c.lost)), min(p, tailBy*r.mean))
+		p = max(p*(1-lossBy*max(r.lost, c.lost)), min(p, tailBy*r.mean*math.Exp2(float64(min(e.fails, 9)))))
 	}
 	return max(min(gateway.Micros(p), w.ttl-c.now), 1)
 }
@@ -601,9 +601,6 @@
 			r.window = max(r.window/2, 1)
 			r.lost += smooth * (1 - r.lost)
 			c.lost += smooth / 4 * (1 - c.lost)
-			if e.fails > 0 { // one lost answer says nothing of the pace; several may be a slow destination
-				e.mean, r.mean = blend(e.mean, took), blend(r.mean, took)
-			}
 		}
 		if e.fails++; e.fails <= sickRow { // what an endpoint left out fails says nothing more of the route
 			r.failing += smooth * (1 - r.failing)
