--- a/control/control.go
+++ b/control/control.go
@@ -438,7 +438,7 @@
 	p := float64(w.evt.reach)
 	if r := e.route; r.mean > 0 && !r.sick {
 		lost := max(r.lost, c.lost)
-		tail := tailBy * (1 - lost) * (1 - lost) * r.mean * math.Exp2(float64(min(e.fails, 9)))
+		tail := tailBy * (1 - r.lost) * (1 - r.lost) * r.mean * math.Exp2(float64(min(e.fails, 9)))
 		p = max(p*(1-lossBy*lost), min(p, tail))
 	}
 	return max(min(gateway.Micros(p), w.ttl-c.now), 1)
