--- a/control/control.go
+++ b/control/control.go
@@ -29,9 +29,10 @@
 	lateFrom   = 0.8  // the late band starts at this share of m
 	patienceBy = 0.7  // patience, as a share of the tightest of TTL and token window
 	lossBy     = 6.0  // how fast patience shrinks with the share of answers lost
-	tailBy     = 6.0  // it shrinks to so many answer times
-	silentBy   = 4.0  // a route is silent when the gap since its last outcome is so many times that expected
-	slowBy     = 3.0  // a route is slow when its answers take so many times the usual
+	tailBy     = 6.0  // it shrinks to so many answer times, to tailLeast of them where many are lost
+	tailLeast  = 1.0 / 3
+	silentBy   = 4.0 // a route is silent when the gap since its last outcome is so many times that expected
+	slowBy     = 3.0 // a route is slow when its answers take so many times the usual
 	smooth     = 1.0 / 8
 	paceCut    = 0.8  // pace after a refusal
 	paceStep   = 0.03 // pace regained a second while all goes well, as a share
@@ -43,6 +44,7 @@
 	sickAt     = 0.5  // share of failed calls that does
 	canaryBy   = 0.1  // pause between canaries, over the time to warm
 	coldPart   = 0.75 // of the budget of a cold route that is used
+	farBy      = 1.2  // weight of another zone's answer times in the ranked order
 	fillTo     = 0.9  // of the buffer
 	overBurst  = 2.0  // seconds of a tenant's share that may come at once
 )
@@ -170,11 +172,11 @@
 	}
 	t := &c.tenants[id]
 	t.level, t.at = min(t.level+t.perS*(c.now-t.at).Seconds(), t.perS*overBurst), c.now
-	if t.level < 1 {
-		return true
+	over := t.level < 1
+	if !over {
+		t.level--
 	}
-	t.level--
-	return false
+	return over
 }
 
 // lastAnswer is when a webhook that is not out must have its answer: a tick to spare before the TTL.
@@ -438,7 +440,7 @@
 	p := float64(w.evt.reach)
 	if r := e.route; r.mean > 0 && !r.sick {
 		lost := max(r.lost, c.lost)
-		tail := tailBy * (1 - r.lost) * (1 - r.lost) * r.mean * math.Exp2(float64(min(e.fails, 9)))
+		tail := tailBy * max(1-2*c.lost, tailLeast) * r.mean * math.Exp2(float64(min(e.fails, 9)))
 		p = max(p*(1-lossBy*lost), min(p, tail))
 	}
 	return max(min(gateway.Micros(p), w.ttl-c.now), 1)
@@ -495,18 +497,15 @@
 		c.forget(w)
 		return
 	}
-	c.retry(w, what)
+	c.retry(w)
 }
 
 // retry draws the wait before the next attempt, or ends a webhook that may not have one.
-func (c *Control) retry(w *webhook, what gateway.Outcome) {
-	if w.evt.Repeat == gateway.AtMostOnce && w.mayRun != never || w.attempts >= c.MaxAttempts {
-		c.finish(w)
-		return
-	}
+func (c *Control) retry(w *webhook) {
 	w.readyAt = c.now + c.delay(w.evt, w.retries)
 	w.retries++
-	if max(w.readyAt, w.dest.shared.waitUntil) >= c.lastSend(w) {
+	spent := w.attempts >= c.MaxAttempts || w.evt.Repeat == gateway.AtMostOnce && w.mayRun != never
+	if spent || max(w.readyAt, w.dest.shared.waitUntil) >= c.lastSend(w) {
 		c.finish(w)
 		return
 	}
@@ -602,7 +601,9 @@
 		if what == gateway.TimedOut || what == gateway.Cancelled {
 			r.window = max(r.window/2, 1)
 			r.lost += smooth * (1 - r.lost)
-			c.lost += smooth / 4 * (1 - c.lost)
+			if e.fails == 0 { // strays alone: a hang's many time-outs say nothing of the other destinations
+				c.lost += smooth / 4 * (1 - c.lost)
+			}
 		}
 		if e.fails++; e.fails <= sickRow { // what an endpoint left out fails says nothing more of the route
 			r.failing += smooth * (1 - r.failing)
@@ -683,7 +684,7 @@
 	score := func(e *endpoint) float64 {
 		s := e.mean
 		if e.zone != c.Zone {
-			s *= 1.2
+			s *= farBy
 		}
 		return s
 	}
