--- a/control/control_test.go
+++ b/control/control_test.go
@@ -231,6 +231,38 @@
 	assert.Equal(t, []gateway.WebhookID{20, 21, 22}, s.h.cancelled)
 }
 
+func TestHangElsewhereLeavesPatienceAlone(t *testing.T) {
+	s := begin(plainFacts(), 0, 0)
+	for id := range gateway.WebhookID(60) {
+		s.take(id, 0, gateway.DestinationID(id%2))
+		s.run(sec / 10)
+		s.all(func(ep gateway.EndpointID) gateway.Outcome {
+			if ep < 10 && id > 20 {
+				return gateway.TimedOut
+			}
+			return gateway.Delivered
+		})
+	}
+	last := s.h.sent[len(s.h.sent)-1]
+	assert.GreaterOrEqual(t, last.ep, gateway.EndpointID(10), "the last is for the well destination")
+	assert.Greater(t, last.patience, 10*sec)
+}
+
+func TestRefusedProbeGivesWayToAWebhook(t *testing.T) {
+	f := plainFacts()
+	f.MayProbe = true
+	s := begin(f, 0)
+	for id := range gateway.WebhookID(20) {
+		s.take(id, 0, 0)
+		s.run(sec / 10)
+		s.all(always(gateway.TimedOut))
+	}
+	n := len(s.h.sent)
+	s.Probed(s.h.probes[len(s.h.probes)-1], gateway.Full, 0)
+	s.run(3 * sec)
+	assert.Equal(t, n+1, len(s.h.sent), "one canary, and it is a webhook")
+}
+
 func TestConnectionCapIsNoOutage(t *testing.T) {
 	s := begin(plainFacts(), 0)
 	for id := range gateway.WebhookID(80) {
