--- a/control/control.go
+++ b/control/control.go
@@ -39,10 +39,9 @@
 	paceTop    = 4.0  // most pace, over the stated rate
 	paceLeast  = 1.0 / 2
 	burstSpan  = 0.5  // seconds of pace that may be sent at once
-	sickRow    = 3.0  // failures in a row that make a route or endpoint sick
+	sickRow    = 3    // failures in a row that make a route or endpoint sick
 	fullRow    = 6    // refusals in a row that do
 	sickAt     = 0.5  // share of failed calls that does
-	doubtBy    = 3.0  // how fast these rise with the share of answers lost everywhere
 	canaryBy   = 0.1  // pause between canaries, over the time to warm
 	coldPart   = 0.75 // of the budget of a cold route that is used
 	farBy      = 1.2  // weight of another zone's answer times in the ranked order
@@ -389,7 +388,7 @@
 		if float64(e.out) >= min(each, math.Floor(e.limit)) || !c.inZone(w, e) || !c.opens(e) {
 			continue
 		}
-		if float64(e.fails) >= c.doubt(sickRow) && !e.route.sick && (c.now < e.tryAt || e.out > 0) {
+		if e.fails >= sickRow && !e.route.sick && (c.now < e.tryAt || e.out > 0) {
 			continue // one endpoint is sick among well ones: a single call now and then
 		}
 		c.pick = e
@@ -414,7 +413,7 @@
 		if r.sick {
 			c.sickOut++
 		}
-		if r.sick || float64(e.fails) >= c.doubt(sickRow) {
+		if r.sick || e.fails >= sickRow {
 			e.tryAt = c.now + c.canaryPause()
 			r.tryAt = max(r.tryAt, e.tryAt)
 		}
@@ -606,24 +605,22 @@
 				c.lost += smooth / 4 * (1 - c.lost)
 			}
 		}
-		if e.fails++; float64(e.fails) <= c.doubt(sickRow) { // what an endpoint left out fails says nothing more of the route
+		if e.fails++; e.fails <= sickRow { // what an endpoint left out fails says nothing more of the route
 			r.failing += smooth * (1 - r.failing)
 		}
-		e.tryAt = c.now + c.canaryPause()
+		if e.fails >= sickRow {
+			e.tryAt = c.now + c.canaryPause()
+		}
 		// One endpoint that fails among well ones is left out by itself: the route is sick when none is well.
-		well := func(o *endpoint) bool { return o.route == r && float64(o.fails) < c.doubt(sickRow) }
+		well := func(o *endpoint) bool { return o.route == r && o.fails < sickRow }
 		if !slices.ContainsFunc(e.dest.endpoints, well) {
 			c.sicken(r)
-		} else if r.failing > c.doubt(sickAt) && !r.sick {
+		} else if r.failing > sickAt && !r.sick {
 			r.coldSince = c.now
 		}
 	}
 }
 
-// doubt raises what it takes to call a route sick while answers get lost everywhere: what chance puts in a row
-// then is no outage. An outage among lost answers is seen a few calls later.
-func (c *Control) doubt(least float64) float64 { return least * min(1+doubtBy*c.lost, 2) }
-
 // sicken closes a route but for canaries. It covers whatever makes calls fail in a row: destinations crashed,
 // shut, hung or failing. It could do harm where failures cluster by chance; a canary's success ends it.
 func (c *Control) sicken(r *route) {
