--- a/control/control.go
+++ b/control/control.go
@@ -36,7 +36,7 @@
 	smooth     = 1.0 / 8
 	paceCut    = 0.8  // pace after a refusal
 	paceStep   = 0.03 // pace regained a second while all goes well, as a share
-	paceTop    = 4.0  // most pace, over the stated rate
+	paceSeek   = 0.12 // the same where webhooks pile up and nothing was refused for long
 	paceLeast  = 1.0 / 2
 	burstSpan  = 0.5  // seconds of pace that may be sent at once
 	sickRow    = 3    // failures in a row that make a route or endpoint sick
@@ -292,7 +292,7 @@
 
 func (c *Control) joinable(w *webhook) *endpoint {
 	for _, e := range w.dest.endpoints {
-		if k := e.open; k != nil && k.turn == c.turn && k.left < w.dest.batch && c.inZone(w, e) {
+		if k := e.open; k != nil && k.turn == c.turn && k.left < w.dest.batch && !k.sick && c.inZone(w, e) {
 			return e
 		}
 	}
@@ -420,9 +420,6 @@
 	}
 	w.call = e.open
 	w.call.left++
-	if w.call.sick {
-		e.open = nil // a canary goes alone
-	}
 	w.queued, w.sentAt, w.attempts = false, c.now, w.attempts+1
 	c.dues.Add(int64(c.now+w.evt.Target), w)
 	c.host.Attempt(w.id, e.id, c.patience(w, e))
@@ -439,9 +436,8 @@
 func (c *Control) patience(w *webhook, e *endpoint) gateway.Micros {
 	p := float64(w.evt.reach)
 	if r := e.route; r.mean > 0 && !r.sick {
-		lost := max(r.lost, c.lost)
 		tail := tailBy * max(1-2*c.lost, tailLeast) * r.mean * math.Exp2(float64(min(e.fails, 9)))
-		p = max(p*(1-lossBy*lost), min(p, tail))
+		p = max(p*(1-lossBy*max(r.lost, c.lost)), min(p, tail))
 	}
 	return max(min(gateway.Micros(p), w.ttl-c.now), 1)
 }
@@ -575,7 +571,12 @@
 		r.lost -= smooth * r.lost
 		c.lost -= smooth / 4 * c.lost
 		r.window = min(r.window+1, fullShare*float64(c.Slots))
-		r.pace = min(r.pace+paceStep, paceTop*r.stated)
+		// A stated rate may be far too low: where webhooks pile up and nothing was refused for long, seek.
+		step := paceStep
+		if c.now-r.cutAt > c.WarmAfter && float64(len(e.dest.queue)) > r.pace {
+			step = paceSeek
+		}
+		r.pace += step
 		c.recover(r)
 	case gateway.Full:
 		r.window = max(r.window/2, 1)
