--- a/control/control.go
+++ b/control/control.go
@@ -573,7 +573,7 @@
 		r.window = min(r.window+1, fullShare*float64(c.Slots))
 		// A stated rate may be far too low: where webhooks pile up and nothing was refused for long, seek.
 		step := paceStep
-		if c.now-r.cutAt > c.WarmAfter && float64(len(e.dest.queue)) > r.pace {
+		if c.now-r.cutAt > c.WarmAfter && float64(len(e.dest.queue)) > 3*r.pace {
 			step = paceSeek
 		}
 		r.pace += step
