--- a/control/control.go
+++ b/control/control.go
@@ -57,10 +57,7 @@
 
 type verdict bool
 
-const (
-	pass verdict = true
-	hold verdict = false
-)
+const pass, hold verdict = true, false
 
 // New starts a dispatcher that knows nothing but the facts. Facts left out are made harmless.
 func New(f gateway.Facts, host gateway.Host) *Control {
@@ -571,9 +568,10 @@
 		r.lost -= smooth * r.lost
 		c.lost -= smooth / 4 * c.lost
 		r.window = min(r.window+1, fullShare*float64(c.Slots))
-		// A stated rate may be far too low: where webhooks pile up and nothing was refused for long, seek.
-		step := paceStep
-		if c.now-r.cutAt > c.WarmAfter && float64(len(e.dest.queue)) > 3*r.pace {
+		// A stated rate may be far too low: where the queue is longer than the pace can carry within the target
+		// latency, and nothing was refused for long, seek.
+		step, q := paceStep, e.dest.queue
+		if len(q) > 0 && float64(len(q)) > r.pace*q[0].evt.Target.Seconds() && c.now-r.cutAt > c.WarmAfter {
 			step = paceSeek
 		}
 		r.pace += step
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -263,6 +263,24 @@
 	assert.Equal(t, n+1, len(s.h.sent), "one canary, and it is a webhook")
 }
 
+func TestPaceOutgrowsALowStatedRate(t *testing.T) {
+	pace := func(waiting gateway.WebhookID) float64 {
+		s := begin(plainFacts(), 0)
+		r := s.dests[0].shared
+		r.stated, r.pace = 2, 2
+		for id := range waiting {
+			s.take(id, 0, 0)
+		}
+		for range 50 {
+			s.run(sec / 10)
+			s.all(always(gateway.Delivered))
+		}
+		return r.pace
+	}
+	assert.Less(t, pace(3), 2.2)
+	assert.Greater(t, pace(60), 3.0)
+}
+
 func TestConnectionCapIsNoOutage(t *testing.T) {
 	s := begin(plainFacts(), 0)
 	for id := range gateway.WebhookID(80) {
