--- a/control/control.go
+++ b/control/control.go
@@ -71,7 +71,9 @@
 		held:      map[gateway.WebhookID]*webhook{},
 		dests:     map[gateway.DestinationID]*destination{},
 		endpoints: map[gateway.EndpointID]*endpoint{}, turns: map[gateway.Key]*turn{}}
-	for _, t := range f.EventTypes {
+	// The last row serves webhooks of an event type that the facts don't name: they are never repeated.
+	unnamed := gateway.EventType{TTL: f.WarmAfter, Target: f.TipAfter, Repeat: gateway.AtMostOnce}
+	for _, t := range append(slices.Clone(f.EventTypes), unnamed) {
 		row := eventRow{EventType: t}
 		tightest := t.TTL
 		if t.Repeat == gateway.Tokened {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -340,7 +340,7 @@
 
 func TestSparseFactsLoseNothing(t *testing.T) {
 	for _, slots := range []int{0, 1, 2} {
-		s := begin(gateway.Facts{Slots: slots, EventTypes: []gateway.EventType{{TTL: 5 * sec, Target: sec}}}, 0, 0)
+		s := begin(gateway.Facts{Slots: slots}, 0, 0)
 		s.Endpoints([]gateway.Entry{{Endpoint: 50, Destination: 7, Kind: 9, Standing: gateway.Gone}}, false)
 		for id := range gateway.WebhookID(10) {
 			s.Take(id, gateway.EventTypeID(id), 3, 0, s.h.now+5*sec, gateway.DestinationID(id))
