--- a/control/control.go
+++ b/control/control.go
@@ -446,7 +446,7 @@
 // be lost.
 func (c *Control) chase(w *webhook) {
 	r := w.call.ep.route
-	long := max(gateway.Micros(tailBy*r.mean), w.evt.Target)
+	long := max(gateway.Micros(tailBy*r.mean), w.evt.Target*3/2)
 	unheard := min(c.now-w.sentAt, c.now-r.heardAt)
 	if c.MayCancel && c.out >= c.Slots && w.evt.Repeat != gateway.AtMostOnce && unheard >= long {
 		c.host.Cancel(w.id, w.attempts-1)
