--- a/control/control.go
+++ b/control/control.go
@@ -31,8 +31,7 @@
 	lossBy     = 6.0  // how fast patience shrinks with the share of answers lost
 	tailBy     = 6.0  // it shrinks to so many answer times, to tailLeast of them where many are lost
 	tailLeast  = 1.0 / 3
-	silentBy   = 4.0 // a route is silent when the gap since its last outcome is so many times that expected
-	slowBy     = 3.0 // a route is slow when its answers take so many times the usual
+	silentBy   = 4.0 // so many times the usual answer time is slow, or the expected gap between two is silent
 	smooth     = 1.0 / 8
 	paceCut    = 0.8  // pace after a refusal
 	paceStep   = 0.03 // pace regained a second while all goes well, as a share
@@ -45,8 +44,8 @@
 	canaryBy   = 0.1  // pause between canaries, over the time to warm
 	coldPart   = 0.75 // of the budget of a cold route that is used
 	farBy      = 1.2  // weight of another zone's answer times in the ranked order
-	fillTo     = 0.9  // of the buffer
 	overBurst  = 2.0  // seconds of a tenant's share that may come at once
+	fillTo     = 0.9  // of the buffer
 )
 
 // Timers of an instance: one for periodic work, one for the earliest due time.
@@ -170,7 +169,7 @@
 		return false
 	}
 	t := &c.tenants[id]
-	t.level, t.at = min(t.level+t.perS*(c.now-t.at).Seconds(), t.perS*overBurst), c.now
+	t.level, t.at = min(t.level+t.perS*(c.now-t.at).Seconds(), max(t.perS*overBurst, 1)), c.now
 	over := t.level < 1
 	if !over {
 		t.level--
@@ -361,7 +360,7 @@
 // bound is how many calls a route may have out: its window, up to a share of the slots.
 func (c *Control) bound(r *route) int {
 	share := fullShare
-	if r.failing > sickAt/2 || r.mean > slowBy*c.mean {
+	if r.failing > sickAt/2 || r.mean > silentBy*c.mean {
 		share = sickShare
 	}
 	return max(int(min(r.window, share*float64(c.Slots))), 1)
@@ -446,7 +445,7 @@
 // be lost.
 func (c *Control) chase(w *webhook) {
 	r := w.call.ep.route
-	long := max(gateway.Micros(tailBy*r.mean), w.evt.Target*3/2)
+	long := max(gateway.Micros(tailBy*r.mean), w.evt.Target)
 	unheard := min(c.now-w.sentAt, c.now-r.heardAt)
 	if c.MayCancel && c.out >= c.Slots && w.evt.Repeat != gateway.AtMostOnce && unheard >= long {
 		c.host.Cancel(w.id, w.attempts-1)
