--- a/control/control.go
+++ b/control/control.go
@@ -1,7 +1,7 @@
 // Package control is the decision module: every decision, table and tuned value of rowanlink is in this file.
 //
 // Callers make one instance a dispatcher with New and call it turn by turn through gateway.Module: the
-// endpoint list, webhooks taken, outcomes, probe results, withdrawals, wakes, and TurnOver when all of one
+// endpoint list, webhooks taken, outcomes, withdrawals, wakes, and TurnOver when all of one
 // moment was told. It acts through gateway.Host. Both are defined in gateway/gateway.go, the records kept in
 // control/state.go. Nothing is shared between instances.
 //
@@ -46,13 +46,12 @@
 	farBy      = 1.2  // weight of another zone's answer times in the ranked order
 	overBurst  = 2.0  // seconds of a tenant's share that may come at once
 	fillTo     = 0.9  // of the buffer
+	connsBy    = 2.0  // connections that an endpoint takes, over its calls at once at the stated rate
+	connsLeast = 6.0  // and at the least
 )
 
 // Timers of an instance: one for periodic work, one for the earliest due time.
-const (
-	timerPeriod gateway.TimerID = iota
-	timerDue
-)
+const timerPeriod, timerDue gateway.TimerID = 0, 1
 
 type verdict bool
 
@@ -83,6 +82,7 @@
 		row.reach = max(gateway.Micros(patienceBy*float64(tightest)), 1)
 		c.events = append(c.events, row)
 	}
+	c.trickle = 1 / c.events[0].Target.Seconds()
 	for _, perS := range f.Tenants {
 		perS /= float64(f.Fleet)
 		c.tenants = append(c.tenants, tenant{perS: perS, level: perS * overBurst, at: c.now})
@@ -129,8 +129,8 @@
 	}
 }
 
+// newRoute takes the slots of the whole fleet, each used once a second, for a rate until one is stated.
 func (c *Control) newRoute() *route {
-	// Where no rate is stated, the slots of the whole fleet, each used once a second, stand in for one.
 	perS := float64(c.Slots)
 	return &route{window: 1, stated: perS, pace: perS, tokens: 1, tokensAt: c.now, coldSince: never}
 }
@@ -148,9 +148,8 @@
 	key gateway.Key, ttl gateway.Micros, dest gateway.DestinationID) {
 	c.now = c.host.Now()
 	row := &c.events[min(int(evt), len(c.events)-1)]
-	w := &webhook{id: id, evt: row, dest: c.destination(dest), key: key, ttl: ttl, readyAt: c.now, mayRun: never}
-	w.target = ttl - row.TTL + row.Target
-	w.over = c.overShare(tenant)
+	w := &webhook{id: id, evt: row, dest: c.destination(dest), key: key, ttl: ttl, readyAt: c.now, mayRun: never,
+		target: ttl - row.TTL + row.Target, over: c.overShare(tenant)}
 	c.held[id] = w
 	c.open++
 	if row.Ordered && key != 0 {
@@ -170,11 +169,11 @@
 	}
 	t := &c.tenants[id]
 	t.level, t.at = min(t.level+t.perS*(c.now-t.at).Seconds(), max(t.perS*overBurst, 1)), c.now
-	over := t.level < 1
-	if !over {
-		t.level--
+	if t.level < 1 {
+		return true
 	}
-	return over
+	t.level--
+	return false
 }
 
 // lastAnswer is when a webhook that is not out must have its answer: a tick to spare before the TTL.
@@ -225,6 +224,10 @@
 		d.prune()
 	}
 	c.shed()
+	for _, e := range c.freed {
+		c.hangUp(e)
+	}
+	c.freed = c.freed[:0]
 	if at, ok := c.dues.Next(); ok && gateway.Micros(at) < c.armed {
 		c.armed = gateway.Micros(at)
 		c.host.Wake(max(c.armed-c.now, 1), timerDue)
@@ -310,20 +313,12 @@
 	}
 	if r.sick {
 		// One canary at a time; all sick routes together hold a bounded part of the slots.
-		if r.out > 0 || r.probing || c.sickOut >= max(int(sickShare*float64(c.Slots)), 1) {
+		if r.out > 0 || c.sickOut >= max(int(sickShare*float64(c.Slots)), 1) {
 			return false
 		}
 		if c.now < r.tryAt {
 			return c.wakeFor(r, r.tryAt)
 		}
-		// A probe as canary puts no webhook inside its token window. It serves while calls there may have run, not
-		// after a refusal: that risks nothing, and only a webhook is told a wait. Nor once one has told of health
-		// that webhooks did not find.
-		if c.MayProbe && !c.shallow && r.risky {
-			r.probing, r.tryAt = true, c.now+c.canaryPause()
-			c.host.Probe(e.id)
-			return false
-		}
 		return true
 	}
 	if r.out >= c.bound(r) || c.silent(r) {
@@ -350,13 +345,18 @@
 // dispatcher's part of what may be sent without pushing the destination over, growing as that warms.
 func (c *Control) rate(r *route) (rate, depth float64) {
 	if r.coldSince == never {
-		return r.pace, max(r.pace*burstSpan, 1)
+		return max(r.pace, c.loose(r)), max(r.pace*burstSpan, 1)
 	}
 	warm := min((c.now-r.coldSince).Seconds()/c.WarmAfter.Seconds(), 1)
 	share := c.StartCapacity + (1-c.StartCapacity)*warm
 	return min(r.pace, coldPart*c.FallMultiple*share*r.stated), 1
 }
 
+// loose is the rate that a route is let where this dispatcher's part is too small to live by: of hundreds
+// each has a call a minute, and a second webhook would wait out its TTL. It is learned over all routes from the
+// calls that it let go, and halves with each refusal in a row at the route: a full destination is spared.
+func (c *Control) loose(r *route) float64 { return c.trickle * math.Exp2(-float64(r.refused)) }
+
 // bound is how many calls a route may have out: its window, up to a share of the slots.
 func (c *Control) bound(r *route) int {
 	share := fullShare
@@ -408,6 +408,7 @@
 		r.out++
 		e.out++
 		r.tokens--
+		r.loose = r.coldSince == never && !r.sick && r.pace < c.loose(r)
 		if r.sick {
 			c.sickOut++
 		}
@@ -479,6 +480,7 @@
 		if k.sick {
 			c.sickOut--
 		}
+		c.freed = append(c.freed, k.ep)
 	}
 	if !what.NeverRan() && w.mayRun == never {
 		w.mayRun, w.zone = w.sentAt, k.ep.zone
@@ -494,6 +496,15 @@
 	c.retry(w)
 }
 
+// hangUp closes idle connections that would keep other dispatchers out: an endpoint may take few, the whole
+// fleet's counted. They stay where its calls at the stated rate likely need one for each dispatcher.
+func (c *Control) hangUp(e *endpoint) {
+	perS := e.route.stated * float64(c.Fleet) / float64(max(len(e.dest.endpoints), 1))
+	if e.out == 0 && float64(c.Fleet) > max(connsBy*perS*e.mean/float64(gateway.Second), connsLeast) {
+		c.host.CloseIdle(e.id)
+	}
+}
+
 // retry draws the wait before the next attempt, or ends a webhook that may not have one.
 func (c *Control) retry(w *webhook) {
 	w.readyAt = c.now + c.delay(w.evt, w.retries)
@@ -560,11 +571,14 @@
 // judge counts the fate of a call, once for all the webhooks in it.
 func (c *Control) judge(e *endpoint, what gateway.Outcome, took, wait gateway.Micros) {
 	r := e.route
-	r.heardAt, r.risky = c.now, !what.NeverRan()
+	r.heardAt = c.now
 	switch what {
 	case gateway.Delivered:
 		e.mean, r.mean, c.mean = blend(e.mean, took), blend(r.mean, took), blend(c.mean, took)
-		e.fails, e.okAt, r.refused, r.probed = 0, c.now, 0, false
+		if r.loose {
+			c.trickle = min(c.trickle*(1+paceStep), 1/c.events[0].Target.Seconds())
+		}
+		e.fails, e.okAt, r.refused = 0, c.now, 0
 		r.failing -= smooth * r.failing
 		r.lost -= smooth * r.lost
 		c.lost -= smooth / 4 * c.lost
@@ -580,6 +594,9 @@
 	case gateway.Full:
 		r.window = max(r.window/2, 1)
 		r.refused++
+		if r.loose && wait < c.TipAfter {
+			c.trickle *= paceCut
+		}
 		// Guards against refusals that use up the limit: no other webhook follows at once, and the pace falls.
 		r.tokens = min(r.tokens, 0)
 		if c.now-r.cutAt > gateway.Second/2 {
@@ -628,7 +645,6 @@
 	r.tryAt = max(r.tryAt, c.now+c.canaryPause())
 	if !r.sick {
 		r.sick = true
-		c.shallow = c.shallow || r.probed
 		c.host.Log(fmt.Sprintf("endpoint %d: destination sick", r.name))
 	}
 }
@@ -649,25 +665,11 @@
 	}
 }
 
-// Probed takes the result of a probe.
-func (c *Control) Probed(ep gateway.EndpointID, what gateway.Outcome, took gateway.Micros) {
-	c.now = c.host.Now()
-	if e := c.endpoints[ep]; e != nil {
-		e.route.probing, e.route.risky = false, !what.NeverRan()
-		if what == gateway.Delivered && e.route.sick {
-			e.route.refused, e.fails, e.route.probed = 0, 0, true
-			c.recover(e.route)
-		}
-	}
-}
-
 // Wake is told when a timer is due.
 func (c *Control) Wake(timer gateway.TimerID) {
 	c.now = c.host.Now()
 	if timer == timerDue {
-		if c.now >= c.armed {
-			c.armed = math.MaxInt64
-		}
+		c.armed = math.MaxInt64
 		return
 	}
 	c.host.Wake(gateway.Second/2, timerPeriod)
--- a/control/state.go
+++ b/control/state.go
@@ -32,11 +32,12 @@
 	armed     gateway.Micros
 	mean      float64 // answer time in µs over all routes, smoothed
 	lost      float64 // share of late calls that timed out, over all routes, smoothed
-	shallow   bool    // a probe has told of health that webhooks did not find
 	shedding  bool
 	stages    []func(*webhook) verdict
 	pick      *endpoint // the endpoint stage's choice for the send stage
 	ready     []*webhook
+	trickle   float64     // calls a second that a route with a tiny part is let
+	freed     []*endpoint // had a call come back this turn
 }
 
 // eventRow is what the module reads of an event type: a row of the one table in which event types differ.
@@ -110,9 +111,7 @@
 	lost      float64        // share of late calls that timed out, smoothed
 	refused   int            // refusals in a row
 	sick      bool
-	risky     bool           // the last call or probe may have run
-	probing   bool           // a probe is out
-	probed    bool           // the last good news was a probe's
+	loose     bool           // the last call went by the trickle
 	tryAt     gateway.Micros // sick: next canary
 	coldSince gateway.Micros // first success after an outage, or never
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,7 +24,7 @@
 	TimerID       uint32
 )
 
-// Outcome is how a delivery attempt or a probe ended.
+// Outcome is how a delivery attempt ended.
 type Outcome uint8
 
 const (
@@ -84,7 +84,6 @@
 	Slots       int // calls out at once
 	Buffer      int // webhooks held at once, sent or not
 	MaxAttempts int
-	MayProbe    bool
 	MayCancel   bool
 	MaxAdvice   Micros // the longest wait that a program heeds after a rejection; 0: none is heeded
 	RatesStated bool   // endpoint lists state the rate that a destination takes
@@ -126,7 +125,6 @@
 	Endpoints(list []Entry, whole bool)
 	Take(id WebhookID, evt EventTypeID, tenant TenantID, key Key, ttl Micros, dest DestinationID)
 	Outcome(id WebhookID, ep EndpointID, what Outcome, took Micros, ended bool, wait Micros)
-	Probed(ep EndpointID, what Outcome, took Micros)
 	Withdrawn(id WebhookID)
 	Wake(timer TimerID)
 	TurnOver()
@@ -139,7 +137,6 @@
 	Cancel(id WebhookID, attempt int)
 	Reject(id WebhookID, advised Micros)
 	DeadLetter(id WebhookID)
-	Probe(ep EndpointID)
 	Wake(in Micros, timer TimerID)
 	CloseIdle(ep EndpointID)
 	Log(text string)
