Far endpoints not measured yet rank by the usual answer time

A dispatcher among hundreds has measured few endpoints, and unmeasured ones ranked first, so half its calls crossed halls and held their slots for longer. Covers any destination with endpoints in several zones. Could harm where the far endpoint is the quicker one: it is tried when the near one is full.

--- a/control/control.go
+++ b/control/control.go
@@ -352,8 +352,8 @@
 	return min(r.pace, coldPart*c.FallMultiple*share*r.stated), 1
 }
 
-// loose is the rate that a route is let where this dispatcher's part is too small to live by: of hundreds
-// each has a call a minute, and a second webhook would wait out its TTL. It is learned over all routes from the
+// loose is the rate that a route is let where this dispatcher's part is too small to live by: of hundreds each
+// has a call a minute, and a second webhook would wait out its TTL. It is learned over all routes from the
 // calls that it let go, and halves with each refusal in a row at the route: a full destination is spared.
 func (c *Control) loose(r *route) float64 { return c.trickle * math.Exp2(-float64(r.refused)) }
 
@@ -685,8 +685,8 @@
 func (c *Control) rank(d *destination) {
 	score := func(e *endpoint) float64 {
 		s := e.mean
-		if e.zone != c.Zone {
-			s *= farBy
+		if e.zone != c.Zone { // not first because unmeasured: each call there holds its slot for longer
+			s = cmp.Or(s, c.mean) * farBy
 		}
 		return s
 	}
