Canary pauses scale with a dispatcher's part and start at a told wait's end

Now a canary waits for the dispatcher's part of the cold budget, at most the warming time, counted from the end of a told wait. Covers every outage seen by many. Could harm: a return is noticed later where a part is small. Limits: an outage of which a dispatcher sees one call alone is not yet told as sick.

--- a/control/control.go
+++ b/control/control.go
@@ -41,7 +41,7 @@
 	sickRow    = 3    // failures in a row that make a route or endpoint sick
 	fullRow    = 6    // refusals in a row that do
 	sickAt     = 0.5  // share of failed calls that does
-	canaryBy   = 0.1  // pause between canaries, over the time to warm
+	canaryBy   = 0.1  // least pause between canaries, over the time to warm; the longest is that time
 	coldPart   = 0.75 // of the budget of a cold route that is used
 	farBy      = 1.2  // weight of another zone's answer times in the ranked order
 	overBurst  = 2.0  // seconds of a tenant's share that may come at once
@@ -269,18 +269,13 @@
 	if !w.evt.Ordered || w.key == 0 {
 		return pass
 	}
-	if t := c.turns[w.key]; t.line[0] != w || w.attempts == 0 && c.now < t.restUntil {
-		return hold
-	}
-	return pass
+	t := c.turns[w.key]
+	return t.line[0] == w && (w.attempts > 0 || c.now >= t.restUntil)
 }
 
 // schedule holds a webhook to its own wait.
 func (c *Control) schedule(w *webhook) verdict {
-	if w.readyAt > c.now {
-		return hold
-	}
-	return pass
+	return w.readyAt <= c.now
 }
 
 // slots counts own calls exactly, so that none comes back unsent. Joining a call of this turn needs none.
@@ -352,8 +347,8 @@
 	return min(r.pace, coldPart*c.FallMultiple*share*r.stated), 1
 }
 
-// loose is the rate that a route is let where this dispatcher's part is too small to live by: of hundreds each
-// has a call a minute, and a second webhook would wait out its TTL. It is learned over all routes from the
+// loose is the rate that a route is let where this dispatcher's part is too small to live by: with hundreds
+// it is a call a minute, and a second webhook would wait out its TTL. It is learned over all routes from the
 // calls that it let go, and halves with each refusal in a row at the route: a full destination is spared.
 func (c *Control) loose(r *route) float64 { return c.trickle * math.Exp2(-float64(r.refused)) }
 
@@ -413,7 +408,7 @@
 			c.sickOut++
 		}
 		if r.sick || e.fails >= sickRow {
-			e.tryAt = c.now + c.canaryPause()
+			e.tryAt = c.now + c.canaryPause(r)
 			r.tryAt = max(r.tryAt, e.tryAt)
 		}
 	}
@@ -425,8 +420,12 @@
 	return pass
 }
 
-func (c *Control) canaryPause() gateway.Micros {
-	return gateway.Micros(canaryBy * float64(c.WarmAfter) * (1 + c.chance.Float()) / 1.5)
+// canaryPause is by chance around the gap that this dispatcher's part of a cold destination's budget gives,
+// within bounds. Guards a small destination against the canaries of hundreds, which alone would push it over.
+func (c *Control) canaryPause(r *route) gateway.Micros {
+	span := float64(gateway.Second) / (coldPart * c.FallMultiple * c.StartCapacity * r.stated)
+	span = min(max(span, canaryBy*float64(c.WarmAfter)), float64(c.WarmAfter))
+	return gateway.Micros(span * (1 + c.chance.Float()) / 1.5)
 }
 
 // patience leaves a slow answer its time; a time-out makes work that may still run and cost the webhook.
@@ -626,7 +625,7 @@
 			r.failing += smooth * (1 - r.failing)
 		}
 		if e.fails >= sickRow {
-			e.tryAt = c.now + c.canaryPause()
+			e.tryAt = c.now + c.canaryPause(r)
 		}
 		// One endpoint that fails among well ones is left out by itself: the route is sick when none is well.
 		well := func(o *endpoint) bool { return o.route == r && o.fails < sickRow }
@@ -642,7 +641,8 @@
 // shut, hung or failing. It could do harm where failures cluster by chance; a canary's success ends it.
 func (c *Control) sicken(r *route) {
 	r.window = 1
-	r.tryAt = max(r.tryAt, c.now+c.canaryPause())
+	// From the end of a told wait, which comes for all dispatchers at once.
+	r.tryAt = max(r.tryAt, max(c.now, r.waitUntil)+c.canaryPause(r))
 	if !r.sick {
 		r.sick = true
 		c.host.Log(fmt.Sprintf("endpoint %d: destination sick", r.name))
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -362,3 +362,18 @@
 	assert.Less(t, s.trickle, trickle, "refusals of what it let go lower it")
 	assert.Less(t, s.loose(s.dests[1].shared), s.trickle, "and most at the destination that refused")
 }
+
+func TestCanariesOfManyWaitForTheirPartAndPastAToldWait(t *testing.T) {
+	for _, fleet := range []int{1, 200} {
+		s := crowd(fleet)
+		s.take(1, 0, 0)
+		s.TurnOver()
+		s.came(1, gateway.Full, 4*sec) // told to wait for longer than a limit's span: shut
+		r := s.dests[0].shared
+		assert.True(t, r.sick)
+		assert.Greater(t, r.tryAt, r.waitUntil, "all come back when it opens")
+		assert.Equal(t, fleet == 200, s.canaryPause(r) > 5*sec)
+		s.run(4 * sec)
+		assert.Len(t, s.h.sent, 1)
+	}
+}
