Trickle and crowded connections are learned kind by kind

Now a kind's row holds what is learned over all its destinations: the trickle, and until when it counts as short of connections, ten warming times from a failed connect. Covers whatever a kind has in common that a dispatcher sees too seldom at one destination. Could harm: a crash of one destination hangs up for its whole kind, at the price of handshakes; a kind whose destinations differ much.

--- a/control/control.go
+++ b/control/control.go
@@ -48,6 +48,7 @@
 	fillTo     = 0.9  // of the buffer
 	connsBy    = 2.0  // connections that an endpoint takes, over its calls at once at the stated rate
 	connsLeast = 6.0  // and at the least
+	crowdedFor = 10   // warming times that a failed connect at a kind of destination counts for all of it
 )
 
 // Timers of an instance: one for periodic work, one for the earliest due time.
@@ -82,7 +83,10 @@
 		row.reach = max(gateway.Micros(patienceBy*float64(tightest)), 1)
 		c.events = append(c.events, row)
 	}
-	c.trickle = 1 / c.events[0].Target.Seconds()
+	for _, k := range append(slices.Clone(f.Kinds), gateway.Kind{}) { // the last row serves kinds not named
+		k.Batch = max(k.Batch, 1)
+		c.kinds = append(c.kinds, &kind{Kind: k, trickle: 1 / c.events[0].Target.Seconds()})
+	}
 	for _, perS := range f.Tenants {
 		perS /= float64(f.Fleet)
 		c.tenants = append(c.tenants, tenant{perS: perS, level: perS * overBurst, at: c.now})
@@ -104,12 +108,10 @@
 	}
 	for _, l := range list {
 		d, e := c.destination(l.Destination), c.endpoints[l.Endpoint]
-		if int(l.Kind) < len(c.Kinds) {
-			d.batch, d.apart = max(c.Kinds[l.Kind].Batch, 1), c.Kinds[l.Kind].Apart
-		}
+		d.kind = c.kinds[min(int(l.Kind), len(c.kinds)-1)]
 		if e == nil {
 			e = &endpoint{id: l.Endpoint, zone: l.Zone, dest: d, route: d.shared, limit: math.Inf(1)}
-			if d.apart {
+			if d.kind.Apart {
 				e.route = c.newRoute()
 			}
 			e.route.name, c.endpoints[l.Endpoint] = e.id, e
@@ -118,8 +120,8 @@
 			d.endpoints = append(d.endpoints, e)
 		}
 		e.listed = l.Standing == gateway.Listed
-		part := l.Rate / float64(c.Fleet)
-		if r := e.route; c.RatesStated && part > 0 && !math.IsInf(part, 0) && r.stated != part {
+		r, part := e.route, l.Rate/float64(c.Fleet)
+		if c.RatesStated && part > 0 && !math.IsInf(part, 0) && r.stated != part {
 			r.stated, r.pace = part, part
 		}
 	}
@@ -137,7 +139,7 @@
 
 func (c *Control) destination(id gateway.DestinationID) *destination {
 	if c.dests[id] == nil {
-		c.dests[id] = &destination{id: id, batch: 1, shared: c.newRoute()}
+		c.dests[id] = &destination{id: id, kind: c.kinds[len(c.kinds)-1], shared: c.newRoute()}
 		c.order = append(c.order, c.dests[id])
 	}
 	return c.dests[id]
@@ -150,8 +152,7 @@
 	row := &c.events[min(int(evt), len(c.events)-1)]
 	w := &webhook{id: id, evt: row, dest: c.destination(dest), key: key, ttl: ttl, readyAt: c.now, mayRun: never,
 		target: ttl - row.TTL + row.Target, over: c.overShare(tenant)}
-	c.held[id] = w
-	c.open++
+	c.held[id], c.open = w, c.open+1
 	if row.Ordered && key != 0 {
 		if c.turns[key] == nil {
 			c.turns[key] = &turn{restUntil: never}
@@ -191,8 +192,7 @@
 
 // TurnOver sends what may go now.
 func (c *Control) TurnOver() {
-	c.now = c.host.Now()
-	c.turn++
+	c.now, c.turn = c.host.Now(), c.turn+1
 	for w, ok := c.dues.Take(int64(c.now)); ok; w, ok = c.dues.Take(int64(c.now)) {
 		// Guards against a webhook lost: whatever holds it, it ends in time.
 		if w != nil && w.call != nil {
@@ -224,10 +224,6 @@
 		d.prune()
 	}
 	c.shed()
-	for _, e := range c.freed {
-		c.hangUp(e)
-	}
-	c.freed = c.freed[:0]
 	if at, ok := c.dues.Next(); ok && gateway.Micros(at) < c.armed {
 		c.armed = gateway.Micros(at)
 		c.host.Wake(max(c.armed-c.now, 1), timerDue)
@@ -288,7 +284,7 @@
 
 func (c *Control) joinable(w *webhook) *endpoint {
 	for _, e := range w.dest.endpoints {
-		if k := e.open; k != nil && k.turn == c.turn && k.left < w.dest.batch && !k.sick && c.inZone(w, e) {
+		if k := e.open; k != nil && k.turn == c.turn && k.left < w.dest.kind.Batch && !k.sick && c.inZone(w, e) {
 			return e
 		}
 	}
@@ -319,7 +315,7 @@
 	if r.out >= c.bound(r) || c.silent(r) {
 		return false
 	}
-	rate, depth := c.rate(r)
+	rate, depth := c.rate(e.dest, r)
 	r.tokens, r.tokensAt = min(r.tokens+rate*(c.now-r.tokensAt).Seconds(), depth), c.now
 	if r.tokens < 1 {
 		return c.wakeFor(r, c.now+gateway.Micros(math.Ceil((1-r.tokens)/rate*float64(gateway.Second))))
@@ -338,19 +334,18 @@
 
 // rate is how many calls a second a route is let, and how many may go at once. After an outage it is this
 // dispatcher's part, growing as the destination warms, of what doesn't push it over; one call at the least.
-func (c *Control) rate(r *route) (rate, depth float64) {
+func (c *Control) rate(d *destination, r *route) (rate, depth float64) {
 	if r.coldSince == never {
-		return max(r.pace, c.loose(r)), max(r.pace*burstSpan, 1)
+		return max(r.pace, loose(d, r)), max(r.pace*burstSpan, 1)
 	}
-	warm := min((c.now-r.coldSince).Seconds()/c.WarmAfter.Seconds(), 1)
-	share := c.StartCapacity + (1-c.StartCapacity)*warm
-	return min(max(r.pace, c.loose(r)), max(coldPart*c.FallMultiple*share*r.stated, 1/c.WarmAfter.Seconds())), 1
+	share := c.StartCapacity + (1-c.StartCapacity)*min(float64(c.now-r.coldSince)/float64(c.WarmAfter), 1)
+	return min(max(r.pace, loose(d, r)), max(coldPart*c.FallMultiple*share*r.stated, 1/c.WarmAfter.Seconds())), 1
 }
 
 // loose is the rate that a route is let where this dispatcher's part is too small to live by: with hundreds
 // it is a call a minute, and a second webhook would wait out its TTL. It is learned over all routes from the
 // calls that it let go, and halves with each refusal in a row at the route: a full destination is spared.
-func (c *Control) loose(r *route) float64 { return c.trickle * math.Exp2(-float64(r.refused)) }
+func loose(d *destination, r *route) float64 { return d.kind.trickle * math.Exp2(-float64(r.refused)) }
 
 // bound is how many calls a route may have out: its window, up to a share of the slots.
 func (c *Control) bound(r *route) int {
@@ -374,7 +369,7 @@
 		return pass
 	}
 	each := math.Ceil(float64(c.Slots) * fullShare)
-	if n := len(w.dest.endpoints); n > 1 && !w.dest.apart {
+	if n := len(w.dest.endpoints); n > 1 && !w.dest.kind.Apart {
 		each = math.Ceil(float64(c.bound(w.dest.shared)) / float64(n))
 	}
 	for _, e := range w.dest.endpoints {
@@ -393,7 +388,7 @@
 func (c *Control) send(w *webhook) verdict {
 	e := c.pick
 	r := e.route
-	if k := e.open; k == nil || k.turn != c.turn || k.left >= w.dest.batch {
+	if k := e.open; k == nil || k.turn != c.turn || k.left >= w.dest.kind.Batch {
 		e.open = &call{ep: e, turn: c.turn, sick: r.sick}
 		if r.out == 0 {
 			r.heardAt = c.now
@@ -401,8 +396,9 @@
 		c.out++
 		r.out++
 		e.out++
+		e.linked = true
 		r.tokens--
-		r.loose = r.coldSince == never && !r.sick && r.pace < c.loose(r)
+		r.loose = r.coldSince == never && !r.sick && r.pace < loose(w.dest, r)
 		if r.sick {
 			c.sickOut++
 		}
@@ -478,7 +474,6 @@
 		if k.sick {
 			c.sickOut--
 		}
-		c.freed = append(c.freed, k.ep)
 	}
 	if !what.NeverRan() && w.mayRun == never {
 		w.mayRun, w.zone = w.sentAt, k.ep.zone
@@ -494,11 +489,13 @@
 	c.retry(w)
 }
 
-// hangUp closes idle connections that would keep other dispatchers out: an endpoint may take few, the whole
-// fleet's counted. They stay where its calls at the stated rate likely need one for each dispatcher.
+// hangUp closes idle connections that keep other dispatchers out: endpoints of a kind where one was missed of
+// late may take few, the whole fleet's counted. Not where the calls at the stated rate need one for each.
 func (c *Control) hangUp(e *endpoint) {
-	perS := e.route.stated * float64(c.Fleet) / float64(max(len(e.dest.endpoints), 1))
-	if e.out == 0 && float64(c.Fleet) > max(connsBy*perS*e.mean/float64(gateway.Second), connsLeast) {
+	atOnce := e.route.stated * e.route.mean / float64(gateway.Second) * float64(c.Fleet)
+	few := max(connsBy*atOnce/float64(len(e.dest.endpoints)), connsLeast) < float64(c.Fleet)
+	if few && c.now < e.dest.kind.crowded && e.linked && e.out == 0 {
+		e.linked = false
 		c.host.CloseIdle(e.id)
 	}
 }
@@ -574,11 +571,10 @@
 	case gateway.Delivered:
 		e.mean, r.mean, c.mean = blend(e.mean, took), blend(r.mean, took), blend(c.mean, took)
 		if r.loose {
-			c.trickle = min(c.trickle*(1+paceStep), 1/c.events[0].Target.Seconds())
+			e.dest.kind.trickle = min(e.dest.kind.trickle*(1+paceStep), 1/c.events[0].Target.Seconds())
 		}
 		e.fails, e.okAt, r.okAt, r.refused = 0, c.now, c.now, 0
-		r.failing -= smooth * r.failing
-		r.lost -= smooth * r.lost
+		r.failing, r.lost = (1-smooth)*r.failing, (1-smooth)*r.lost
 		c.lost -= smooth / 4 * c.lost
 		r.window = min(r.window+1, fullShare*float64(c.Slots))
 		// A stated rate may be far too low: where the queue is longer than the pace can carry within the target
@@ -593,7 +589,7 @@
 		r.window = max(r.window/2, 1)
 		r.refused++
 		if r.loose && wait < c.TipAfter {
-			c.trickle *= paceCut
+			e.dest.kind.trickle *= paceCut
 		}
 		// Guards against refusals that use up the limit: no other webhook follows at once, and the pace falls.
 		r.tokens = min(r.tokens, 0)
@@ -608,10 +604,13 @@
 		}
 	case gateway.NotSent:
 	default:
-		// A cap on connections is no outage: calls succeed beside it. It grows again, as it may be one's start.
-		if what == gateway.ConnectFailed && c.now-e.okAt < 2*c.ConnectTimeout {
-			e.limit = float64(max(e.out-1, 1))
-			return
+		if what == gateway.ConnectFailed {
+			e.dest.kind.crowded = c.now + crowdedFor*c.WarmAfter
+			// A cap on connections is no outage: calls succeed beside it. It grows again, as it may be one's start.
+			if c.now-e.okAt < 2*c.ConnectTimeout {
+				e.limit = float64(max(e.out-1, 1))
+				return
+			}
 		}
 		if what == gateway.TimedOut || what == gateway.Cancelled {
 			r.window = max(r.window/2, 1)
@@ -677,6 +676,7 @@
 		c.rank(d)
 		for _, e := range d.endpoints {
 			e.limit *= 1 + paceStep
+			c.hangUp(e)
 		}
 	}
 }
--- a/control/state.go
+++ b/control/state.go
@@ -36,8 +36,7 @@
 	stages    []func(*webhook) verdict
 	pick      *endpoint // the endpoint stage's choice for the send stage
 	ready     []*webhook
-	trickle   float64     // calls a second that a route with a tiny part is let
-	freed     []*endpoint // had a call come back this turn
+	kinds     []*kind
 }
 
 // eventRow is what the module reads of an event type: a row of the one table in which event types differ.
@@ -85,6 +84,7 @@
 	route  *route
 	listed bool
 	out    int            // calls out
+	linked bool           // it may have idle connections
 	limit  float64        // calls out at most, by the cap on connections met
 	mean   float64        // answer time in µs, smoothed
 	okAt   gateway.Micros // last delivery
@@ -117,11 +117,17 @@
 	coldSince gateway.Micros // first success after an outage, or never
 }
 
+// kind is a row of the one table in which kinds of destination differ, with what is learned over all of a kind.
+type kind struct {
+	gateway.Kind
+	trickle float64        // calls a second that a route with a tiny part is let
+	crowded gateway.Micros // until then it counts as short of connections
+}
+
 // destination is where webhooks are meant for.
 type destination struct {
 	id        gateway.DestinationID
-	batch     int
-	apart     bool
+	kind      *kind
 	shared    *route
 	endpoints []*endpoint // ranked
 	queue     []*webhook  // held, not out
