--- a/control/control.go
+++ b/control/control.go
@@ -203,8 +203,7 @@
 	}
 	c.ready = c.ready[:0]
 	for _, d := range c.order {
-		shut := !d.kind.Apart && c.now < d.shared.wakeAt // nothing to look at before, but for an outcome
-		if len(d.queue) == 0 || shut || !slices.ContainsFunc(d.endpoints, c.opens) {
+		if len(d.queue) == 0 || !slices.ContainsFunc(d.endpoints, c.opens) {
 			continue
 		}
 		for _, w := range d.queue {
