--- a/control/control.go
+++ b/control/control.go
@@ -203,7 +203,8 @@
 	}
 	c.ready = c.ready[:0]
 	for _, d := range c.order {
-		if len(d.queue) == 0 || !slices.ContainsFunc(d.endpoints, c.opens) {
+		shut := !d.kind.Apart && c.now < d.shared.wakeAt // nothing to look at before, but for an outcome
+		if len(d.queue) == 0 || shut || !slices.ContainsFunc(d.endpoints, c.opens) {
 			continue
 		}
 		for _, w := range d.queue {
@@ -318,8 +319,7 @@
 	rate, depth := c.rate(e.dest, r)
 	r.tokens, r.tokensAt = min(r.tokens+rate*(c.now-r.tokensAt).Seconds(), depth), c.now
 	if r.tokens < 1 {
-		gap := min((1-r.tokens)/rate, smooth*c.TipAfter.Seconds()) // soon looked at again, as rates grow meanwhile
-		return c.wakeFor(r, c.now+gateway.Micros(math.Ceil(gap*float64(gateway.Second))))
+		return c.wakeFor(r, c.now+gateway.Micros(math.Ceil((1-r.tokens)/rate*float64(gateway.Second))))
 	}
 	return true
 }
