--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 
 	"rowanlink/gateway"
+	"rowanlink/internal/facts"
 )
 
 // Codes of events and of actions.
@@ -142,7 +143,7 @@
 		if f.bad {
 			return errShort
 		}
-		facts, err := readFacts(seed, text)
+		known, err := facts.FromPairs(seed, text)
 		if err != nil {
 			return err
 		}
@@ -150,7 +151,7 @@
 		in := &instance{s: s, who: who}
 		s.instances[who] = in
 		s.turn(in)
-		in.guard(func() { in.module = s.start(facts, in) })
+		in.guard(func() { in.module = s.start(known, in) })
 		return nil
 	}
 	in := s.instances[who]
--- /dev/null
+++ b/cmd/rowanlink/main.go
@@ -0,0 +1,124 @@
+// Command rowanlink is one real dispatcher: it wires the parts together and goes through their phases.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"rowanlink/control"
+	"rowanlink/gateway"
+	"rowanlink/internal/facts"
+	"rowanlink/node/clients"
+	"rowanlink/node/decider"
+	"rowanlink/node/endpoints"
+	"rowanlink/node/exchange"
+	"rowanlink/node/journal"
+	"rowanlink/node/lifecycle"
+	"rowanlink/node/notices"
+	"rowanlink/node/registry"
+)
+
+// Parts of the limits: of the memory, for the heap; of the descriptors, for connections each way.
+const (
+	heapPart = 0.6
+	connPart = 0.4
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "rowanlink:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	told, err := configuration(os.Getenv("LB_CONFIG"))
+	if err != nil {
+		return err
+	}
+	seed, err := strconv.ParseUint(told.Get("seed").String(), 16, 64)
+	if err != nil {
+		return fmt.Errorf("seed: %w", err)
+	}
+	known, names, idleLimit, err := facts.FromJSON(seed, told.Get("settings"))
+	if err != nil {
+		return err
+	}
+	limit := func(name string, otherwise float64) float64 {
+		if v := told.Get("limits." + name).Float(); v > 0 {
+			return v
+		}
+		return otherwise
+	}
+	debug.SetMemoryLimit(int64(heapPart * limit("memory_mb", 192) * 1e6))
+	conns := int(connPart * limit("sockets", 1024))
+
+	life, x := &lifecycle.Life{}, exchange.New()
+	life.Enter(lifecycle.Starting)
+	kept, err := journal.Open(os.Getenv("LB_STATE"), limit("disk_mb", 3))
+	if err != nil {
+		return err
+	}
+	on, err := net.Listen("tcp", told.Get("listen").String())
+	if err != nil {
+		return err
+	}
+	d := decider.New(x, life, kept, known)
+	calls := endpoints.New(&x.Counters, d.Came, known.ConnectTimeout, idleLimit, conns)
+	finals := notices.New(told.Get("discovery").String(), &x.Counters, d.Heard)
+	list := registry.New(told.Get("discovery").String(), names, d.Listed, func() { x.ListsBroken.Add(1) })
+	if err := list.Take(told.Get("known")); err != nil {
+		slog.Warn("no known list", "why", err)
+	}
+	d.Begin(calls, finals, func(f gateway.Facts, h gateway.Host) gateway.Module { return control.New(f, h) })
+	server := clients.New(x, life, known, names, conns)
+	life.Enter(lifecycle.Serving)
+	decided, served := make(chan struct{}), make(chan error, 1)
+	go func() { d.Run(); close(decided) }()
+	go finals.Run()
+	go list.Follow()
+	go func() { served <- server.Serve(on) }()
+
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-stop:
+	case err := <-served:
+		return fmt.Errorf("the clients' server ended: %w", err)
+	}
+	life.Leave(d.Empty, calls.Out)
+	err = server.Close(time.Second / 5)
+	life.Enter(lifecycle.Ended)
+	<-decided
+	calls.End()
+	x.Counters.Log()
+	return errors.Join(err, kept.Close())
+}
+
+// configuration reads the file that tells a dispatcher all it is told, and says in one line what is wrong.
+func configuration(path string) (gjson.Result, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return gjson.Result{}, fmt.Errorf("configuration: %w", err)
+	}
+	told := gjson.ParseBytes(raw)
+	if !gjson.ValidBytes(raw) || !told.IsObject() {
+		return gjson.Result{}, fmt.Errorf("configuration %s is not a JSON object", path)
+	}
+	for _, needed := range []string{"listen", "discovery", "settings"} {
+		if !told.Get(needed).Exists() {
+			return gjson.Result{}, fmt.Errorf("configuration %s lacks %s", path, needed)
+		}
+	}
+	return told, nil
+}
--- a/control/control.go
+++ b/control/control.go
@@ -1,7 +1,7 @@
 // Package control is the decision module: every decision, table and tuned value of rowanlink is in this file.
 //
 // Callers make one instance a dispatcher with New and call it turn by turn through gateway.Module: the
-// endpoint list, webhooks taken, outcomes, withdrawals, wakes, and TurnOver when all of one
+// endpoint list, webhooks taken or resumed, outcomes, withdrawals, wakes, and TurnOver when all of one
 // moment was told. It acts through gateway.Host. Both are defined in gateway/gateway.go, the records kept in
 // control/state.go. Nothing is shared between instances.
 //
@@ -116,10 +116,9 @@
 			}
 			e.route.name, c.endpoints[l.Endpoint] = e.id, e
 		}
-		if l.Standing == gateway.Listed && !slices.Contains(d.endpoints, e) {
+		if e.listed = l.Standing == gateway.Listed; e.listed && !slices.Contains(d.endpoints, e) {
 			d.endpoints = append(d.endpoints, e)
 		}
-		e.listed = l.Standing == gateway.Listed
 		r, part := e.route, l.Rate/float64(c.Fleet)
 		if c.RatesStated && part > 0 && !math.IsInf(part, 0) && r.stated != part {
 			r.stated, r.pace = part, part
@@ -148,16 +147,30 @@
 // Take takes on a webhook. From here on it is owed exactly one final answer before its TTL.
 func (c *Control) Take(id gateway.WebhookID, evt gateway.EventTypeID, tenant gateway.TenantID,
 	key gateway.Key, ttl gateway.Micros, dest gateway.DestinationID) {
+	c.Resume(id, evt, tenant, key, ttl, dest, 0, never, 0)
+}
+
+// Resume takes on a webhook that an earlier life had, with its attempts and the first that may have run. A
+// call that was out has no outcome any more: like a reset, it is followed by the schedule's wait, or the end.
+func (c *Control) Resume(id gateway.WebhookID, evt gateway.EventTypeID, tenant gateway.TenantID,
+	key gateway.Key, ttl gateway.Micros, dest gateway.DestinationID,
+	attempts int, mayRun gateway.Micros, zone gateway.ZoneID) {
 	c.now = c.host.Now()
 	row := &c.events[min(int(evt), len(c.events)-1)]
-	w := &webhook{id: id, evt: row, dest: c.destination(dest), key: key, ttl: ttl, readyAt: c.now, mayRun: never,
-		target: ttl - row.TTL + row.Target, over: c.overShare(tenant)}
+	w := &webhook{id: id, evt: row, dest: c.destination(dest), key: key, ttl: ttl, readyAt: c.now,
+		mayRun: mayRun, zone: zone, target: ttl - row.TTL + row.Target, over: c.overShare(tenant), attempts: attempts,
+		retries: max(attempts-1, 0)}
 	c.held[id], c.open = w, c.open+1
 	if row.Ordered && key != 0 {
-		if c.turns[key] == nil {
-			c.turns[key] = &turn{restUntil: never}
+		t := cmp.Or(c.turns[key], &turn{restUntil: never})
+		if t.line = append(t.line, w); mayRun != never {
+			t.restUntil = c.now + c.TurnGap
 		}
-		c.turns[key].line = append(c.turns[key].line, w)
+		c.turns[key] = t
+	}
+	if attempts > 0 {
+		c.retry(w)
+		return
 	}
 	c.dues.Add(int64(c.lastAnswer(w)), w)
 	w.enqueue()
@@ -215,10 +228,7 @@
 	}
 	slices.SortStableFunc(c.ready, c.before)
 	for _, w := range c.ready {
-		for _, s := range c.stages {
-			if s(w) == hold {
-				break
-			}
+		for i := 0; i < len(c.stages) && c.stages[i](w) == pass; i++ {
 		}
 	}
 	for _, d := range c.order {
@@ -263,17 +273,12 @@
 // inTurn holds an ordered webhook until each earlier one of its key is over with no attempt out, and the key
 // has rested after one that may still run.
 func (c *Control) inTurn(w *webhook) verdict {
-	if !w.evt.Ordered || w.key == 0 {
-		return pass
-	}
 	t := c.turns[w.key]
-	return t.line[0] == w && (w.attempts > 0 || c.now >= t.restUntil)
+	return verdict(!w.evt.Ordered || w.key == 0 || t.line[0] == w && (w.attempts > 0 || c.now >= t.restUntil))
 }
 
 // schedule holds a webhook to its own wait.
-func (c *Control) schedule(w *webhook) verdict {
-	return w.readyAt <= c.now
-}
+func (c *Control) schedule(w *webhook) verdict { return w.readyAt <= c.now }
 
 // slots counts own calls exactly, so that none comes back unsent. Joining a call of this turn needs none.
 func (c *Control) slots(w *webhook) verdict {
@@ -438,8 +443,7 @@
 }
 
 // chase calls off what a route owes that has said nothing for long, while every slot is taken: a hang over
-// many destinations at once would hold them all until its time-outs. Never an at-most-once webhook: it would
-// be lost.
+// many destinations at once would hold them all until its time-outs. Never an at-most-once webhook.
 func (c *Control) chase(w *webhook) {
 	r := w.call.ep.route
 	long := max(gateway.Micros(tailBy*r.mean), w.evt.Target)
@@ -527,8 +531,7 @@
 	return gateway.Micros(math.Ceil(s * float64(gateway.Second)))
 }
 
-// finish gives the final answer at once: a rejection where no attempt may have run, with a time to come back,
-// else a dead letter.
+// finish ends it at once: rejected, with a time to come back, where none may have run, else dead-lettered.
 func (c *Control) finish(w *webhook) {
 	if w.mayRun != never {
 		c.host.DeadLetter(w.id)
@@ -652,9 +655,8 @@
 // destination warms, and is well when that time has passed.
 func (c *Control) recover(r *route) {
 	if r.sick {
-		r.sick, r.coldSince = false, c.now
+		r.sick, r.coldSince, r.tokens = false, c.now, 0
 		r.failing = min(r.failing, sickAt/2)
-		r.tokens = 0
 		r.pace = max(r.pace, r.stated) // refusals while it was shut said nothing of its limit
 		c.host.Log(fmt.Sprintf("endpoint %d: destination cold", r.name))
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -8,8 +8,7 @@
 	"rowanlink/internal/mwc"
 )
 
-// never marks a time that has not come.
-const never gateway.Micros = -1
+const never = gateway.Never
 
 // Control decides for one dispatcher.
 type Control struct {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,9 @@
 // Second is the unit of the retry schedule.
 const Second Micros = 1_000_000
 
+// Never marks a time that has not come.
+const Never Micros = -1
+
 // Seconds is the span in seconds.
 func (t Micros) Seconds() float64 { return float64(t) / float64(Second) }
 
@@ -124,6 +127,8 @@
 type Module interface {
 	Endpoints(list []Entry, whole bool)
 	Take(id WebhookID, evt EventTypeID, tenant TenantID, key Key, ttl Micros, dest DestinationID)
+	Resume(id WebhookID, evt EventTypeID, tenant TenantID, key Key, ttl Micros, dest DestinationID,
+		attempts int, mayRun Micros, zone ZoneID) // of an earlier life; mayRun: first attempt that may have run
 	Outcome(id WebhookID, ep EndpointID, what Outcome, took Micros, ended bool, wait Micros)
 	Withdrawn(id WebhookID)
 	Wake(timer TimerID)
--- a/benchwire/facts.go
+++ b/internal/facts/facts.go
@@ -1,4 +1,6 @@
-package benchwire
+// Package facts puts settings into our words: the bench's path=value pairs and the nested JSON of a real
+// dispatcher's configuration alike, which is first laid out as such pairs.
+package facts
 
 import (
 	"fmt"
@@ -6,9 +8,65 @@
 	"strconv"
 	"strings"
 
+	"github.com/tidwall/gjson"
+
 	"rowanlink/gateway"
 )
 
+// Names holds what only the sockets need: the names by which lists and webhooks speak of a place in Facts.
+type Names struct {
+	EventTypes, Tenants, Kinds, Zones []string
+}
+
+// FromPairs reads the settings as the bench's wire gives them.
+func FromPairs(seed uint64, text string) (gateway.Facts, error) {
+	return read(seed, readPairs(text))
+}
+
+// FromJSON reads them as nested JSON, and the time after which an idle connection to an endpoint is closed.
+func FromJSON(seed uint64, settings gjson.Result) (gateway.Facts, Names, gateway.Micros, error) {
+	p := &pairs{values: map[string]string{}}
+	p.flatten("", settings)
+	names := Names{texts(settings, "classes.#.name"), texts(settings, "tenants.#.name"),
+		texts(settings, "kinds"), texts(settings, "zones")}
+	idle := p.under("limits.keepalive")
+	f, err := read(seed, p)
+	return f, names, idle, err
+}
+
+func texts(settings gjson.Result, path string) (all []string) {
+	for _, v := range settings.Get(path).Array() {
+		all = append(all, v.String())
+	}
+	return all
+}
+
+// flatten lays a value out as the pairs that the bench's wire would give for it.
+func (p *pairs) flatten(path string, v gjson.Result) {
+	under := func(name string) string { return strings.TrimPrefix(path+"."+name, ".") }
+	switch {
+	case v.IsObject():
+		v.ForEach(func(name, item gjson.Result) bool {
+			p.flatten(under(name.String()), item)
+			return true
+		})
+	case v.IsArray():
+		var plain []string
+		items := v.Array()
+		for i, item := range items {
+			if item.IsObject() {
+				p.flatten(under(strconv.Itoa(i)), item)
+				p.values[under("count")] = strconv.Itoa(len(items))
+			} else {
+				plain = append(plain, item.String())
+			}
+		}
+		p.values[path] = strings.Join(plain, ",")
+	default:
+		p.values[path] = v.String()
+	}
+}
+
 // pairs reads path=value settings. Unknown keys are never looked at; the first bad value is kept in err.
 type pairs struct {
 	values map[string]string
@@ -62,9 +120,7 @@
 	return min(p.count(key+".count"), len(p.values))
 }
 
-// readFacts puts the bench's settings into our words.
-func readFacts(seed uint64, text string) (gateway.Facts, error) {
-	p := readPairs(text)
+func read(seed uint64, p *pairs) (gateway.Facts, error) {
 	f := gateway.Facts{
 		Seed: seed, Fleet: p.count("fleetSize"), Zone: gateway.ZoneID(p.count("zone")),
 		OverShare: p.number("overShareWorth"),
--- /dev/null
+++ b/node/exchange/exchange.go
@@ -0,0 +1,148 @@
+// Package exchange is where client side and server side meet, and the only place: webhooks as they came, with
+// the few fields that decisions need, and what waits to be told to the decider.
+package exchange
+
+import (
+	"encoding/binary"
+	"errors"
+	"sync"
+	"time"
+
+	"rowanlink/gateway"
+)
+
+var started = time.Now()
+
+// Now is the one clock of the process: it starts from the wall's and never runs back.
+func Now() gateway.Micros {
+	return gateway.Micros(started.UnixMicro() + time.Since(started).Microseconds())
+}
+
+// Span is a time from the clock's point of view as the standard library has it.
+func Span(t gateway.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
+
+// Webhook is one webhook as it came: what goes on unchanged stays bytes.
+type Webhook struct {
+	ID        gateway.WebhookID
+	RequestID string
+	Token     string // idempotency key, or empty
+	Body      []byte
+
+	Event       gateway.EventTypeID
+	Tenant      gateway.TenantID
+	Key         gateway.Key
+	Destination gateway.DestinationID
+	TTL         gateway.Micros
+
+	CameAt gateway.Micros
+	answer chan answer
+}
+
+// Answer is what a client is told of the webhook that it handed in.
+type Answer int
+
+const (
+	Taken    Answer = iota // from now on it is owed its end
+	Rejected               // trying again is harmless
+	Doubled                // its request id is held already
+)
+
+type answer struct {
+	what    Answer
+	retryIn gateway.Micros
+}
+
+// Exchange holds what waits for the decider. What waits is bounded: a client's connection has one webhook at a
+// time, a slot one call, and the list is read line by line.
+type Exchange struct {
+	Counters
+	mu       sync.Mutex
+	arrivals []*Webhook
+	news     []func()
+	bell     chan struct{}
+}
+
+// New makes an exchange in which nothing waits.
+func New() *Exchange { return &Exchange{bell: make(chan struct{}, 1)} }
+
+// HandIn puts a webhook in for the next turn and waits for its answer; one rejected may be told a time to come
+// back (0: none).
+func (x *Exchange) HandIn(w *Webhook) (what Answer, retryIn gateway.Micros) {
+	w.answer = make(chan answer, 1)
+	x.mu.Lock()
+	x.arrivals = append(x.arrivals, w)
+	x.mu.Unlock()
+	x.ring()
+	a := <-w.answer
+	return a.what, a.retryIn
+}
+
+// Answer answers the client that handed the webhook in.
+func (w *Webhook) Answer(what Answer, retryIn gateway.Micros) { w.answer <- answer{what, retryIn} }
+
+// Tell puts a call in that the decider makes in its next turn.
+func (x *Exchange) Tell(call func()) {
+	x.mu.Lock()
+	x.news = append(x.news, call)
+	x.mu.Unlock()
+	x.ring()
+}
+
+func (x *Exchange) ring() {
+	select {
+	case x.bell <- struct{}{}:
+	default:
+	}
+}
+
+// Bell rings when something waits.
+func (x *Exchange) Bell() <-chan struct{} { return x.bell }
+
+// All takes all that waits.
+func (x *Exchange) All() (arrivals []*Webhook, news []func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	arrivals, news = x.arrivals, x.news
+	x.arrivals, x.news = nil, nil
+	return arrivals, news
+}
+
+// Bytes is the form in which a webhook outlasts the process.
+func (w *Webhook) Bytes() []byte {
+	b := make([]byte, 0, 32+len(w.RequestID)+len(w.Token)+len(w.Body))
+	b = append(b, byte(w.Event))
+	b = binary.LittleEndian.AppendUint32(b, uint32(w.Tenant))
+	b = binary.LittleEndian.AppendUint64(b, uint64(w.Key))
+	b = binary.LittleEndian.AppendUint16(b, uint16(w.Destination))
+	b = binary.LittleEndian.AppendUint64(b, uint64(w.TTL))
+	for _, text := range []string{w.RequestID, w.Token} {
+		b = binary.LittleEndian.AppendUint16(b, uint16(len(text)))
+		b = append(b, text...)
+	}
+	return append(b, w.Body...)
+}
+
+// FromBytes reads that form again.
+func FromBytes(id gateway.WebhookID, b []byte) (*Webhook, error) {
+	const fixed = 1 + 4 + 8 + 2 + 8
+	if len(b) < fixed {
+		return nil, errBroken
+	}
+	w := &Webhook{ID: id, Event: gateway.EventTypeID(b[0]),
+		Tenant:      gateway.TenantID(binary.LittleEndian.Uint32(b[1:])),
+		Key:         gateway.Key(binary.LittleEndian.Uint64(b[5:])),
+		Destination: gateway.DestinationID(binary.LittleEndian.Uint16(b[13:])),
+		TTL:         gateway.Micros(binary.LittleEndian.Uint64(b[15:]))}
+	b = b[fixed:]
+	for _, text := range []*string{&w.RequestID, &w.Token} {
+		if len(b) < 2 || len(b) < 2+int(binary.LittleEndian.Uint16(b)) {
+			return nil, errBroken
+		}
+		n := 2 + int(binary.LittleEndian.Uint16(b))
+		*text, b = string(b[2:n]), b[n:]
+	}
+	w.Body = b
+	return w, nil
+}
+
+var errBroken = errors.New("a webhook's kept form is broken")
--- /dev/null
+++ b/node/journal/journal.go
@@ -0,0 +1,272 @@
+// Package journal keeps what outlasts the process: each webhook taken on, each delivery attempt before its
+// first byte, each end, and each final notice until it was heard. It is one file of records that only grows,
+// now and then written anew with what is still owed. Data written survives the process without a sync.
+package journal
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"rowanlink/gateway"
+)
+
+// Kinds of record.
+const (
+	accepted = 'A' // attempts, first that may have run, its zone, what was taken on
+	called   = 'C' // time, zone
+	neverRan = 'N' // the last call is known not to have run
+	ended    = 'E' // the notice that is owed; empty: none
+	told     = 'T' // the notice was heard
+)
+
+const (
+	recordHead = 4 + 4 + 1 + 4 // length of the rest, its checksum, kind, id
+	stateLen   = 2 + 8 + 2 + 1
+	mega       = 1_000_000
+	spare      = 16 // one part in so many of the disk stays free for calls and ends of what is held
+)
+
+// ErrFull is answered when no room is left for another webhook.
+var ErrFull = errors.New("the journal is full")
+
+// Entry is what the journal knows of one webhook.
+type Entry struct {
+	ID       gateway.WebhookID
+	Taken    []byte // as handed to Accept
+	Attempts int
+	MayRun   gateway.Micros // first attempt that may have run, or Never
+	Zone     gateway.ZoneID // of that attempt's endpoint
+	Ended    bool
+	Notice   []byte // owed since it ended
+
+	firstOut bool // the last call is the first that may have run
+}
+
+func (e *Entry) size() int { return recordHead + stateLen + len(e.Taken) + len(e.Notice) }
+
+// Journal is the file and what stands in it. It belongs to one goroutine.
+type Journal struct {
+	dir     string
+	file    *os.File
+	size    int // of the file
+	limit   int
+	live    int // what the file would hold if written anew
+	entries map[gateway.WebhookID]*Entry
+	pending []byte
+	anew    bool // the file may lack what was noted: write it anew
+}
+
+// Open reads what an earlier life left in the folder, which is never filled beyond diskMB.
+func Open(dir string, diskMB float64) (*Journal, error) {
+	j := &Journal{dir: dir, limit: int(diskMB * mega), entries: map[gateway.WebhookID]*Entry{}}
+	if err := os.Remove(j.path("new")); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	old, err := os.ReadFile(j.path("log"))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	for len(old) >= recordHead {
+		n := int(binary.LittleEndian.Uint32(old))
+		// A process killed in the middle of a write leaves a torn tail: nothing was done on its word.
+		if n < recordHead-8 || n > len(old)-8 || crc32.ChecksumIEEE(old[8:8+n]) != binary.LittleEndian.Uint32(old[4:]) {
+			break
+		}
+		j.replay(old[8], gateway.WebhookID(binary.LittleEndian.Uint32(old[9:])), old[recordHead:8+n])
+		old = old[8+n:]
+	}
+	if err := j.writeAnew(); err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	return j, nil
+}
+
+func (j *Journal) path(ending string) string { return filepath.Join(j.dir, "webhooks."+ending) }
+
+func (j *Journal) replay(kind byte, id gateway.WebhookID, rest []byte) {
+	e := j.entries[id]
+	switch {
+	case kind == accepted && len(rest) >= stateLen:
+		j.put(&Entry{ID: id, Attempts: int(binary.LittleEndian.Uint16(rest)),
+			MayRun:   gateway.Micros(binary.LittleEndian.Uint64(rest[2:])),
+			Zone:     gateway.ZoneID(binary.LittleEndian.Uint16(rest[10:])),
+			firstOut: rest[12] != 0, Taken: slices.Clone(rest[stateLen:])})
+	case kind == ended:
+		j.put(&Entry{ID: id, Ended: true, Notice: slices.Clone(rest)})
+		if len(rest) == 0 {
+			j.drop(id)
+		}
+	case e == nil:
+	case kind == called && len(rest) >= 10:
+		e.call(gateway.Micros(binary.LittleEndian.Uint64(rest)), gateway.ZoneID(binary.LittleEndian.Uint16(rest[8:])))
+	case kind == neverRan:
+		e.neverRan()
+	case kind == told:
+		j.drop(id)
+	}
+}
+
+func (e *Entry) call(at gateway.Micros, zone gateway.ZoneID) {
+	e.Attempts++
+	if e.firstOut = e.MayRun == gateway.Never; e.firstOut {
+		e.MayRun, e.Zone = at, zone
+	}
+}
+
+func (e *Entry) neverRan() {
+	if e.firstOut {
+		e.MayRun, e.firstOut = gateway.Never, false
+	}
+}
+
+func (j *Journal) put(e *Entry) {
+	j.drop(e.ID)
+	j.entries[e.ID] = e
+	j.live += e.size()
+}
+
+func (j *Journal) drop(id gateway.WebhookID) {
+	if e := j.entries[id]; e != nil {
+		j.live -= e.size()
+		delete(j.entries, id)
+	}
+}
+
+// Entries lists what is held or owed, in the order taken.
+func (j *Journal) Entries() []*Entry {
+	all := make([]*Entry, 0, len(j.entries))
+	for _, e := range j.entries {
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b *Entry) int { return int(int64(a.ID) - int64(b.ID)) })
+	return all
+}
+
+// Accept notes a webhook. It fails with ErrFull where what is owed could not be written anew beside the file.
+func (j *Journal) Accept(id gateway.WebhookID, taken []byte) error {
+	e := &Entry{ID: id, Taken: taken, MayRun: gateway.Never}
+	if 2*(j.live+e.size())+j.limit/spare > j.limit {
+		return ErrFull
+	}
+	j.put(e)
+	j.pending = e.record(j.pending)
+	return nil
+}
+
+// Call notes a delivery attempt before its first byte.
+func (j *Journal) Call(id gateway.WebhookID, at gateway.Micros, zone gateway.ZoneID) {
+	if e := j.entries[id]; e != nil {
+		e.call(at, zone)
+		rest := binary.LittleEndian.AppendUint64(nil, uint64(at))
+		j.pending = record(j.pending, called, id, binary.LittleEndian.AppendUint16(rest, uint16(zone)))
+	}
+}
+
+// NeverRan notes that the last attempt is known not to have run.
+func (j *Journal) NeverRan(id gateway.WebhookID) {
+	if e := j.entries[id]; e != nil {
+		e.neverRan()
+		j.pending = record(j.pending, neverRan, id, nil)
+	}
+}
+
+// End notes that a webhook is over, and the notice that is owed from now on, if any.
+func (j *Journal) End(id gateway.WebhookID, notice []byte) {
+	if j.entries[id] == nil {
+		return
+	}
+	j.put(&Entry{ID: id, Ended: true, Notice: notice})
+	if len(notice) == 0 {
+		j.drop(id)
+	}
+	j.pending = record(j.pending, ended, id, notice)
+}
+
+// Told notes that a notice was heard: nothing is owed any more.
+func (j *Journal) Told(id gateway.WebhookID) {
+	j.drop(id)
+	j.pending = record(j.pending, told, id, nil)
+}
+
+// Forget takes back an Accept whose Commit failed.
+func (j *Journal) Forget(id gateway.WebhookID) {
+	j.drop(id)
+	j.anew = true
+}
+
+// Commit writes all that was noted since the last one. Only then may it be acted on. After an error nothing of
+// it counts as written; the next Commit writes all that is known anew.
+func (j *Journal) Commit() error {
+	if len(j.pending) == 0 && !j.anew {
+		return nil
+	}
+	if j.anew || j.size+len(j.pending)+j.live > j.limit {
+		return j.writeAnew()
+	}
+	n, err := j.file.Write(j.pending)
+	j.size += n
+	j.pending = j.pending[:0]
+	if err != nil {
+		j.anew = true
+		return fmt.Errorf("journal: %w", err)
+	}
+	return nil
+}
+
+// writeAnew replaces the file by one with only what is owed. A kill leaves either the old one or the new one.
+func (j *Journal) writeAnew() error {
+	j.anew = true
+	var all []byte
+	for _, e := range j.Entries() {
+		all = e.record(all)
+	}
+	f, err := os.OpenFile(j.path("new"), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	if _, err = f.Write(all); err == nil {
+		err = os.Rename(j.path("new"), j.path("log"))
+	}
+	if err != nil {
+		return errors.Join(err, f.Close(), os.Remove(j.path("new")))
+	}
+	if j.file != nil {
+		j.file.Close()
+	}
+	j.file, j.size, j.pending, j.anew = f, len(all), j.pending[:0], false
+	return nil
+}
+
+// Close ends the journal; its file stays.
+func (j *Journal) Close() error { return j.file.Close() }
+
+func (e *Entry) record(to []byte) []byte {
+	if e.Ended {
+		return record(to, ended, e.ID, e.Notice)
+	}
+	rest := make([]byte, 0, stateLen+len(e.Taken))
+	rest = binary.LittleEndian.AppendUint16(rest, uint16(e.Attempts))
+	rest = binary.LittleEndian.AppendUint64(rest, uint64(e.MayRun))
+	rest = binary.LittleEndian.AppendUint16(rest, uint16(e.Zone))
+	first := byte(0)
+	if e.firstOut {
+		first = 1
+	}
+	return record(to, accepted, e.ID, append(append(rest, first), e.Taken...))
+}
+
+func record(to []byte, kind byte, id gateway.WebhookID, rest []byte) []byte {
+	start := len(to)
+	to = binary.LittleEndian.AppendUint32(to, uint32(recordHead-8+len(rest)))
+	to = append(to, 0, 0, 0, 0, kind)
+	to = binary.LittleEndian.AppendUint32(to, uint32(id))
+	to = append(to, rest...)
+	binary.LittleEndian.PutUint32(to[start+4:], crc32.ChecksumIEEE(to[start+8:]))
+	return to
+}
--- /dev/null
+++ b/node/notices/notices.go
@@ -0,0 +1,105 @@
+// Package notices tells the platform of webhooks that ended undelivered, again and again until it was heard.
+package notices
+
+import (
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"rowanlink/gateway"
+	"rowanlink/node/exchange"
+)
+
+const (
+	within   = 500 * time.Millisecond // the agent answers at once
+	pause    = within / 10            // after a try that was not heard
+	mostOnce = 256                    // notices in one call
+)
+
+// Notices holds what is not yet heard.
+type Notices struct {
+	counts *exchange.Counters
+	url    string
+	heard  func([]gateway.WebhookID)
+	client fasthttp.HostClient
+	mu     sync.Mutex
+	ids    []gateway.WebhookID
+	lines  [][]byte
+	bell   chan struct{}
+}
+
+// New makes the sender; heard is told which notices were answered.
+func New(addr string, counts *exchange.Counters, heard func([]gateway.WebhookID)) *Notices {
+	// fasthttp's client may repeat a call by itself: here that does no harm.
+	return &Notices{counts: counts, url: "http://" + addr + "/v2/finals", heard: heard, bell: make(chan struct{}, 1),
+		client: fasthttp.HostClient{Addr: addr, MaxConns: 1, ReadTimeout: within, WriteTimeout: within}}
+}
+
+// GivenUp is the notice of a dead-lettered webhook.
+func GivenUp(requestID string) []byte {
+	return []byte(`{"message":` + strconv.Quote(requestID) + `,"outcome":"given_up"}` + "\n")
+}
+
+// HandedBack is the notice of a rejected webhook, with the time after which to come again, if any.
+func HandedBack(requestID string, retryIn gateway.Micros) []byte {
+	line := `{"message":` + strconv.Quote(requestID) + `,"outcome":"handed_back"`
+	if retryIn > 0 {
+		line += `,"retry_in_ms":` + strconv.FormatInt(int64((retryIn+999)/1000), 10)
+	}
+	return []byte(line + "}\n")
+}
+
+// Owe puts a notice in.
+func (n *Notices) Owe(id gateway.WebhookID, line []byte) {
+	n.mu.Lock()
+	n.ids, n.lines = append(n.ids, id), append(n.lines, line)
+	n.mu.Unlock()
+	select {
+	case n.bell <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends until the process ends.
+func (n *Notices) Run() {
+	for range n.bell {
+		for n.once() {
+		}
+	}
+}
+
+// once sends what waits, and tells whether more does.
+func (n *Notices) once() bool {
+	n.mu.Lock()
+	count := min(len(n.ids), mostOnce)
+	ids, lines := n.ids[:count], n.lines[:count]
+	n.mu.Unlock()
+	if count == 0 {
+		return false
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/x-ndjson")
+	req.SetRequestURI(n.url)
+	for _, line := range lines {
+		req.AppendBody(line)
+	}
+	err := n.client.DoTimeout(req, resp, within)
+	if err != nil || resp.StatusCode() != fasthttp.StatusNoContent {
+		n.counts.Untold.Add(1)
+		slog.Warn("notices not heard", "count", count, "status", resp.StatusCode(), "err", err)
+		time.Sleep(pause)
+		return true
+	}
+	n.counts.Told.Add(int64(count))
+	n.mu.Lock()
+	n.ids, n.lines = n.ids[count:], n.lines[count:]
+	n.mu.Unlock()
+	n.heard(ids)
+	return true
+}
--- /dev/null
+++ b/node/registry/registry.go
@@ -0,0 +1,159 @@
+// Package registry follows the endpoint list: it starts from the list this dispatcher last held and watches for
+// changes from there on.
+package registry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/tidwall/gjson"
+	"github.com/valyala/fasthttp"
+
+	"rowanlink/gateway"
+	"rowanlink/internal/facts"
+)
+
+// The protocol sends an empty line every 2 s as long as nothing changes.
+const (
+	linePeriod = 2 * time.Second
+	deadAfter  = linePeriod * 3 / 2
+	pause      = linePeriod / 8 // between two watches
+	mostLine   = 16 << 20
+)
+
+// Listed is told a list, with the address of each of its entries; whole: what is not in it is gone.
+type Listed func(entries []gateway.Entry, addrs []string, whole bool)
+
+// Registry is one dispatcher's watch.
+type Registry struct {
+	addr       string
+	names      facts.Names
+	listed     Listed
+	broken     func()
+	generation int64
+	ids        map[string]gateway.EndpointID
+}
+
+// New makes a watch of the registry at an address; broken is called for each object that can't be read.
+func New(addr string, names facts.Names, listed Listed, broken func()) *Registry {
+	return &Registry{addr: addr, names: names, listed: listed, broken: broken, ids: map[string]gateway.EndpointID{}}
+}
+
+// Take reads one list object and tells what stands in it.
+func (r *Registry) Take(object gjson.Result) error {
+	generation, list := object.Get("generation"), object.Get("instances")
+	if generation.Type != gjson.Number || !list.IsArray() {
+		return fmt.Errorf("a list without generation or instances: %.80s", object.Raw)
+	}
+	var entries []gateway.Entry
+	var addrs []string
+	for _, l := range list.Array() {
+		id, addr, cell := l.Get("instanceId").String(), l.Get("hostPort").String(), l.Get("cell")
+		standing, known := standings[l.Get("lifecycle").String()]
+		_, _, err := net.SplitHostPort(addr)
+		if id == "" || !known || err != nil && standing != gateway.Gone || cell.Float() != math.Trunc(cell.Float()) ||
+			cell.Type != gjson.Number || cell.Float() < 0 || cell.Float() > math.MaxUint16 {
+			slog.Warn("list entry left out", "entry", l.Raw)
+			continue
+		}
+		if _, ok := r.ids[id]; !ok {
+			r.ids[id] = gateway.EndpointID(len(r.ids) + 1)
+		}
+		rate := l.Get("weight").Float()
+		if !(rate > 0) {
+			rate = 0
+		}
+		entries = append(entries, gateway.Entry{Endpoint: r.ids[id], Standing: standing, Rate: rate,
+			Destination: gateway.DestinationID(cell.Int()), Kind: gateway.KindID(place(r.names.Kinds, l.Get("machineType"))),
+			Zone: gateway.ZoneID(place(r.names.Zones, l.Get("zone")))})
+		addrs = append(addrs, addr)
+	}
+	r.generation = generation.Int()
+	r.listed(entries, addrs, object.Get("reset").Bool())
+	return nil
+}
+
+var standings = map[string]gateway.Standing{"SERVING": gateway.Listed, "DRAINING": gateway.Draining,
+	"DELETED": gateway.Gone}
+
+// place is a name's index, or one past the last.
+func place(names []string, name gjson.Result) int {
+	if i := slices.Index(names, name.String()); i >= 0 {
+		return i
+	}
+	return len(names)
+}
+
+// Follow watches until the process ends. A watch lasts until its connection ends, or has been silent for
+// longer than it may be.
+func (r *Registry) Follow() {
+	for {
+		err := r.watch()
+		slog.Debug("watch ended", "why", err)
+		time.Sleep(pause)
+	}
+}
+
+func (r *Registry) watch() error {
+	c, err := net.DialTimeout("tcp", r.addr, deadAfter)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetHost(r.addr)
+	req.SetRequestURI("/registry/instances?follow=1&since=" + strconv.FormatInt(r.generation, 10))
+	in, out := bufio.NewReader(&alive{c}), bufio.NewWriter(c)
+	if err := req.Write(out); err != nil {
+		return err
+	}
+	if err := out.Flush(); err != nil {
+		return err
+	}
+	resp.StreamBody = true
+	if err := resp.Read(in); err != nil {
+		return err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("answered %d", resp.StatusCode())
+	}
+	lines := bufio.NewScanner(resp.BodyStream())
+	lines.Buffer(nil, mostLine)
+	for lines.Scan() {
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		if !gjson.ValidBytes(lines.Bytes()) {
+			err = fmt.Errorf("a list that is no JSON: %.80s", lines.Bytes())
+		} else {
+			err = r.Take(gjson.ParseBytes(lines.Bytes()))
+		}
+		if err != nil { // a change may be missed: a new watch starts from the last one that was read
+			r.broken()
+			slog.Warn("list not read", "why", err)
+			return err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// alive gives each read the time in which a watch must have said something.
+type alive struct{ net.Conn }
+
+func (a *alive) Read(p []byte) (int, error) {
+	if err := a.SetReadDeadline(time.Now().Add(deadAfter)); err != nil {
+		return 0, err
+	}
+	return a.Conn.Read(p)
+}
