--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+.PHONY: build test lint run toy
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/... ./examples/toyserver
+
+test:
+	go test ./...
+
+lint:
+	test -z "$$(gofmt -l .)"
+	go vet ./...
+
+# A dispatcher with the example configuration; `make toy` in another terminal plays what stands round it.
+run: build
+	mkdir -p /tmp/rowanlink && LB_CONFIG=examples/config.json LB_STATE=/tmp/rowanlink exec bin/rowanlink
+
+toy: build
+	exec bin/toyserver
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -397,3 +397,33 @@
 		assert.Equal(t, seldom, s.dests[0].shared.coldSince != never)
 	}
 }
+
+func TestResumedWebhookGoesOnWhereItStood(t *testing.T) {
+	const none = gateway.Never
+	for _, c := range []struct {
+		evt      gateway.EventTypeID
+		attempts int
+		mayRun   gateway.Micros // before now
+		sent     bool           // at the latest after the schedule's wait
+		dead     int
+	}{
+		{evt: 2, attempts: 0, mayRun: none, sent: true},
+		{evt: 2, attempts: 1, mayRun: none, sent: true}, // proved not to have run
+		{evt: 2, attempts: 1, mayRun: sec, dead: 1},     // at-most-once: never again
+		{evt: 1, attempts: 1, mayRun: sec, sent: true},  // tokened: inside its window
+		{evt: 1, attempts: 1, mayRun: 9 * sec, dead: 1}, // and not outside
+		{evt: 0, attempts: 6, mayRun: 9 * sec, dead: 1}, // the attempts of both lives count
+		{evt: 0, attempts: 5, mayRun: 9 * sec, sent: true},
+	} {
+		s := begin(plainFacts(), 0)
+		if c.mayRun != none {
+			c.mayRun = s.h.now - c.mayRun
+		}
+		s.Resume(1, c.evt, 0, 0, s.h.now+18*sec, 0, c.attempts, c.mayRun, 0)
+		s.TurnOver()
+		assert.Equal(t, c.attempts == 0, s.sentOf(1) == 1, "an attempt that was out is followed by a wait")
+		s.run(6 * sec)
+		assert.Equal(t, c.sent, s.sentOf(1) == 1, c)
+		assert.Len(t, s.h.dead, c.dead, c)
+	}
+}
--- /dev/null
+++ b/internal/facts/facts_test.go
@@ -0,0 +1,27 @@
+package facts
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/tidwall/gjson"
+
+	"rowanlink/gateway"
+)
+
+func TestPairsAndNestedJSONSayTheSame(t *testing.T) {
+	pairs, err := FromPairs(7, "classes.count=1\nclasses.0.aim=2500000999\nclasses.0.deadline=9000000000\n"+
+		"classes.0.repeat=token\nclasses.0.group=all\nclasses.0.lateValue=0.3\nkinds=a_b,c\nfamilyInfo.batchByKind=10,1\n"+
+		"familyInfo.kindApart=false,true\nfamilyInfo.slots=4\nlimits.cancel=true\nweightSource=rough\n")
+	require.NoError(t, err)
+	nested, names, idle, err := FromJSON(7, gjson.Parse(`{"classes":[{"aim":2500000999,"deadline":9000000000,
+		"repeat":"token","group":"all","lateValue":0.3,"name":"status"}],"kinds":["a b","c"],"zones":[],
+		"familyInfo":{"batchByKind":[10,1],"kindApart":[false,true],"slots":4},"unknown":[{"x":[1]}],
+		"limits":{"cancel":true,"keepalive":5000000000},"weightSource":"rough"}`))
+	require.NoError(t, err)
+	assert.Equal(t, pairs, nested)
+	assert.Equal(t, []string{"a b", "c"}, names.Kinds)
+	assert.Equal(t, []string{"status"}, names.EventTypes)
+	assert.Equal(t, 5*gateway.Second, idle)
+}
--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -18,6 +18,7 @@
 
 	"rowanlink/gateway"
 	"rowanlink/internal/facts"
+	"rowanlink/internal/socket"
 	"rowanlink/node/exchange"
 	"rowanlink/node/lifecycle"
 )
@@ -105,6 +106,12 @@
 		ctx.Error(why, fasthttp.StatusBadRequest)
 		return
 	}
+	// Guards against a webhook that its client has handed in elsewhere meanwhile: this process stood still.
+	if _, gone := socket.Look(ctx.Conn()); gone {
+		s.x.Rejected.Add(1)
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	what, retryIn := s.x.HandIn(w)
 	switch what {
 	case exchange.Taken:
--- a/node/endpoints/conn.go
+++ b/node/endpoints/conn.go
@@ -2,12 +2,11 @@
 
 import (
 	"bufio"
-	"errors"
 	"net"
-	"syscall"
 	"time"
 
 	"rowanlink/gateway"
+	"rowanlink/internal/socket"
 	"rowanlink/node/exchange"
 )
 
@@ -32,19 +31,8 @@
 	if l.in.Buffered() > 0 {
 		return false
 	}
-	raw, err := l.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	var peek error
-	var one [1]byte
-	if err := raw.Read(func(fd uintptr) bool {
-		_, _, peek = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	}); err != nil {
-		return false
-	}
-	return errors.Is(peek, syscall.EAGAIN)
+	quiet, _ := socket.Look(l.Conn)
+	return quiet
 }
 
 // keep returns a link whose call is over to the idle ones of its endpoint.
--- a/node/endpoints/endpoints.go
+++ b/node/endpoints/endpoints.go
@@ -7,8 +7,6 @@
 	"bytes"
 	"errors"
 	"math"
-	"net"
-	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -233,10 +231,11 @@
 	if err := errors.Join(req.Write(out), out.Flush()); err != nil {
 		return fate{what: gateway.ConnectFailed}
 	}
-	err := resp.ReadLimitBody(l.in, mostAnswer)
-	if timeout := net.Error(nil); errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout() {
-		return fate{what: gateway.TimedOut}
-	} else if err != nil {
+	if err := resp.ReadLimitBody(l.in, mostAnswer); err != nil {
+		// By the clock: fasthttp's errors don't always tell a deadline from a broken connection.
+		if !time.Now().Before(until) {
+			return fate{what: gateway.TimedOut}
+		}
 		return fate{what: gateway.Reset}
 	}
 	f := read(resp, len(k.webhooks) > 1)
--- /dev/null
+++ b/node/journal/journal_test.go
@@ -0,0 +1,110 @@
+package journal
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rowanlink/gateway"
+)
+
+func open(t *testing.T, dir string) *Journal {
+	j, err := Open(dir, 0.1)
+	require.NoError(t, err)
+	t.Cleanup(func() { j.Close() })
+	return j
+}
+
+// entries are what the next life finds.
+func entries(t *testing.T, dir string) []*Entry { return open(t, dir).Entries() }
+
+func TestAttemptsAndTheFirstThatMayHaveRunOutlastTheProcess(t *testing.T) {
+	dir := t.TempDir()
+	j := open(t, dir)
+	require.NoError(t, j.Accept(7, []byte("taken")))
+	j.Call(7, 100, 0) // refused: it never ran
+	j.NeverRan(7)
+	j.Call(7, 200, 1) // errored: it may have
+	j.Call(7, 300, 0) // refused again, which proves nothing of the one before
+	j.NeverRan(7)
+	require.NoError(t, j.Commit())
+	for range 2 { // read from the records, then from the file written anew
+		assert.Equal(t, []*Entry{{ID: 7, Taken: []byte("taken"), Attempts: 3, MayRun: 200, Zone: 1}}, entries(t, dir))
+	}
+}
+
+func TestACallThatWasOutMayHaveRunUntilProvedOtherwise(t *testing.T) {
+	dir := t.TempDir()
+	j := open(t, dir)
+	require.NoError(t, j.Accept(1, nil))
+	j.Call(1, 100, 0)
+	require.NoError(t, j.Commit())
+	next := open(t, dir)
+	assert.Equal(t, gateway.Micros(100), next.Entries()[0].MayRun)
+	next.NeverRan(1)
+	require.NoError(t, next.Commit())
+	assert.Equal(t, gateway.Never, entries(t, dir)[0].MayRun)
+}
+
+func TestTornTailIsLeftOutAndWrittenOver(t *testing.T) {
+	dir := t.TempDir()
+	j := open(t, dir)
+	require.NoError(t, j.Accept(1, []byte("whole")))
+	require.NoError(t, j.Commit())
+	require.NoError(t, j.Accept(2, []byte("torn")))
+	require.NoError(t, j.Commit())
+	require.NoError(t, os.Truncate(j.path("log"), int64(j.size-3)))
+	next := open(t, dir)
+	require.Len(t, next.Entries(), 1)
+	require.NoError(t, next.Accept(3, []byte("after")))
+	require.NoError(t, next.Commit())
+	assert.Len(t, entries(t, dir), 2)
+}
+
+func TestKilledWhileWritingAnewTheOldFileHolds(t *testing.T) {
+	dir := t.TempDir()
+	j := open(t, dir)
+	require.NoError(t, j.Accept(1, []byte("held")))
+	require.NoError(t, j.Commit())
+	require.NoError(t, os.WriteFile(j.path("new"), []byte("half of it"), 0o600))
+	assert.Len(t, entries(t, dir), 1)
+}
+
+func TestFileIsWrittenAnewBeforeItIsTooLargeAndKeepsWhatIsOwed(t *testing.T) {
+	dir := t.TempDir()
+	j := open(t, dir)
+	require.NoError(t, j.Accept(1, []byte("held all along")))
+	require.NoError(t, j.Accept(2, []byte("ends with a notice")))
+	j.End(2, []byte("owed"))
+	body := []byte(strings.Repeat("x", 2000))
+	for id := gateway.WebhookID(3); id < 300; id++ {
+		require.NoError(t, j.Accept(id, body))
+		j.Call(id, 5, 0)
+		j.End(id, nil)
+		require.NoError(t, j.Commit())
+		require.LessOrEqual(t, j.size+j.live, 100_000)
+	}
+	left := entries(t, dir)
+	require.Len(t, left, 2)
+	assert.Equal(t, "held all along", string(left[0].Taken))
+	assert.Equal(t, "owed", string(left[1].Notice))
+}
+
+func TestWhatCouldNotBeWrittenIsWrittenNextTime(t *testing.T) {
+	dir := t.TempDir()
+	j := open(t, dir)
+	require.NoError(t, j.Accept(1, []byte("held")))
+	require.NoError(t, j.Commit())
+	require.NoError(t, j.file.Close()) // the disk refuses
+	require.NoError(t, j.Accept(2, []byte("refused")))
+	j.End(1, []byte("owed"))
+	require.Error(t, j.Commit())
+	j.Forget(2)
+	require.NoError(t, j.Commit())
+	left := entries(t, dir)
+	require.Len(t, left, 1)
+	assert.Equal(t, "owed", string(left[0].Notice))
+}
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,431 @@
+// Package node_test tells short stories of the whole dispatcher: its program, started and killed as in service,
+// between a client, endpoints and a platform that the test plays on loopback.
+package node_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "rowanlink")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "rowanlink")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/rowanlink").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// got is one call as an endpoint saw it.
+type got struct {
+	path, id, token, body string
+}
+
+// world is everything round one dispatcher.
+type world struct {
+	t      *testing.T
+	mu     sync.Mutex
+	calls  []got
+	finals []string
+	deaf   bool // the platform does not hear notices
+	list   string
+	watch  func(since string, w http.ResponseWriter) // writes what the watch says after the list
+	answer func(n int, w http.ResponseWriter, body string)
+
+	dir, endpoint, platform, listen string
+	process                         *exec.Cmd
+	out                             *strings.Builder
+}
+
+const settings = `{"classes":[{"aim":2500000000,"deadline":9000000000,"group":"all","name":"status","repeat":"%s",
+ "window":8000000000,"worth":1,"lateValue":0.3}],"kinds":["bulk"],"zones":["a"],"fleetSize":1,"period":5000000,
+ "familyInfo":{"slots":6,"batchByKind":[4],"kindApart":[false]},"weightSource":"nominal",
+ "limits":{"openCap":50,"maxAttempts":8,"connectTimeout":300000000,"keepalive":1000000000,"cancel":true,
+ "retryAfter":true,"maxRetryAfter":3000000000},
+ "rules":{"startCapacity":0.15,"warmAfter":3000000000,"fallMultiple":2.5,"tipAfter":2000000000}}`
+
+// begin starts a dispatcher for webhooks that repeat as told, with destination 3 at one endpoint.
+func begin(t *testing.T, repeat string) *world {
+	w := &world{t: t, dir: t.TempDir(), listen: free(t)}
+	w.endpoint = w.serve(w.event)
+	w.platform = w.serve(w.agent)
+	w.list = w.listed("SERVING")
+	w.configure(repeat, 3)
+	w.start()
+	return w
+}
+
+func (w *world) listed(lifecycle string) string {
+	return `{"generation":1,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"` + w.endpoint +
+		`","zone":"a","machineType":"bulk","cell":3,"lifecycle":"` + lifecycle + `","weight":500,"startedAtMs":0}]}`
+}
+
+func (w *world) configure(repeat string, diskMB float64) {
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","known":%s,
+		"limits":{"memory_mb":192,"sockets":1024,"disk_mb":%v},"settings":%s}`,
+		w.listen, w.platform, w.list, diskMB, fmt.Sprintf(settings, repeat))
+	require.NoError(w.t, os.WriteFile(filepath.Join(w.dir, "config.json"), []byte(text), 0o600))
+}
+
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (w *world) serve(handler http.HandlerFunc) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(w.t, err)
+	s := &http.Server{Handler: handler}
+	go s.Serve(l)
+	w.t.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
+
+func (w *world) event(rw http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.mu.Lock()
+	w.calls = append(w.calls, got{r.URL.Path, r.Header.Get("Request-Id"), r.Header.Get("Idempotency-Key"), string(body)})
+	n, answer := len(w.calls), w.answer
+	w.mu.Unlock()
+	if answer != nil {
+		answer(n, rw, string(body))
+	}
+}
+
+func (w *world) agent(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v2/finals" {
+		body, _ := io.ReadAll(r.Body)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.deaf {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.finals = append(w.finals, strings.Split(strings.TrimSpace(string(body)), "\n")...)
+		rw.WriteHeader(http.StatusNoContent)
+		return
+	}
+	rw.WriteHeader(http.StatusOK)
+	rw.(http.Flusher).Flush()
+	if w.watch != nil {
+		w.watch(r.URL.Query().Get("since"), rw)
+	}
+	<-r.Context().Done()
+}
+
+func (w *world) start() {
+	w.process = exec.Command(binary)
+	w.process.Env = []string{"LB_CONFIG=" + filepath.Join(w.dir, "config.json"), "LB_STATE=" + w.dir}
+	w.out = &strings.Builder{}
+	w.process.Stdout, w.process.Stderr = w.out, w.out
+	require.NoError(w.t, w.process.Start())
+	w.t.Cleanup(func() { w.process.Process.Kill(); w.process.Wait() })
+	w.soon("ready", func() bool {
+		resp, err := http.Get("http://" + w.listen + "/health/ready")
+		return err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
+	})
+}
+
+func (w *world) kill() {
+	w.process.Process.Kill()
+	w.process.Wait()
+}
+
+func (w *world) soon(what string, is func() bool) {
+	w.t.Helper()
+	require.Eventually(w.t, is, 7*time.Second, 5*time.Millisecond, what)
+}
+
+func (w *world) called(n int) func() bool {
+	return func() bool { w.mu.Lock(); defer w.mu.Unlock(); return len(w.calls) >= n }
+}
+
+func (w *world) told(n int) func() bool {
+	return func() bool { w.mu.Lock(); defer w.mu.Unlock(); return len(w.finals) >= n }
+}
+
+// hand hands a webhook in; extra headers replace the usual ones, an empty one leaves it out.
+func (w *world) hand(id, body string, extra ...string) *http.Response {
+	w.t.Helper()
+	r, err := http.NewRequest("POST", "http://"+w.listen+"/api", strings.NewReader(body))
+	require.NoError(w.t, err)
+	for i, h := range append([]string{"Request-Id", id, "Request-Class", "status", "Request-Timeout-Ms", "9000",
+		"X-Route-To", "dest=3", "Idempotency-Key", "k" + id}, extra...) {
+		if i%2 == 1 {
+			continue
+		}
+		all := append([]string{"Request-Id", id, "Request-Class", "status", "Request-Timeout-Ms", "9000",
+			"X-Route-To", "dest=3", "Idempotency-Key", "k" + id}, extra...)
+		if r.Header.Set(h, all[i+1]); all[i+1] == "" {
+			r.Header.Del(h)
+		}
+	}
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(w.t, err)
+	resp.Body.Close()
+	return resp
+}
+
+// hang answers nothing until the caller ends the connection.
+func hang(rw http.ResponseWriter) {
+	c, _, err := rw.(http.Hijacker).Hijack()
+	if err == nil {
+		io.Copy(io.Discard, c)
+		c.Close()
+	}
+}
+
+// breakOff ends the connection once the call has come.
+func breakOff(rw http.ResponseWriter) {
+	if c, _, err := rw.(http.Hijacker).Hijack(); err == nil {
+		c.Close()
+	}
+}
+
+func TestBytesGoOnUnchangedAndAreCounted(t *testing.T) {
+	w := begin(t, "token")
+	assert.Equal(t, 202, w.hand("a1", "any \x00\r\nbytes").StatusCode)
+	w.soon("called", w.called(1))
+	assert.Equal(t, got{"/events", "a1", "ka1", "any \x00\r\nbytes"}, w.calls[0])
+	w.soon("counted", func() bool {
+		resp, err := http.Get("http://" + w.listen + "/metrics")
+		require.NoError(t, err)
+		text, _ := io.ReadAll(resp.Body)
+		return strings.Contains(string(text), "rowanlink_webhooks_accepted_total 1\n") &&
+			strings.Contains(string(text), "rowanlink_attempts_delivered_total 1\n")
+	})
+}
+
+func TestKilledItStillOwesWhatItTookOn(t *testing.T) {
+	w := begin(t, "token")
+	w.answer = func(n int, rw http.ResponseWriter, _ string) {
+		if n == 1 {
+			hang(rw)
+		}
+	}
+	for i := range 3 {
+		assert.Equal(t, 202, w.hand(fmt.Sprint("a", i), "x").StatusCode)
+	}
+	w.soon("a call is out", w.called(1))
+	w.kill()
+	w.start()
+	seen := map[string]bool{}
+	w.soon("all delivered", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, c := range w.calls[1:] {
+			for i := range 3 {
+				if id := fmt.Sprint("a", i); c.id == id || strings.Contains(c.body, id+" ka") {
+					seen[id] = true
+				}
+			}
+		}
+		return len(seen) == 3
+	})
+}
+
+func TestAtMostOnceIsNotSentAgainAfterAKill(t *testing.T) {
+	w := begin(t, "side_effect")
+	w.answer = func(_ int, rw http.ResponseWriter, _ string) { hang(rw) }
+	w.hand("a1", "x")
+	w.soon("the call is out", w.called(1))
+	w.kill()
+	w.start()
+	w.soon("its end is told", w.told(1))
+	assert.JSONEq(t, `{"message":"a1","outcome":"given_up"}`, w.finals[0])
+	assert.Len(t, w.calls, 1)
+}
+
+func TestBrokenConnectionIsNoReasonToRepeatByItself(t *testing.T) {
+	w := begin(t, "side_effect")
+	w.hand("a0", "x") // leaves a connection idle, on which an HTTP client would dare to repeat
+	w.soon("delivered", w.called(1))
+	w.answer = func(_ int, rw http.ResponseWriter, _ string) { breakOff(rw) }
+	w.hand("a1", "x")
+	w.soon("its end is told", w.told(1))
+	assert.Len(t, w.calls, 2)
+}
+
+func TestNoticesAreOwedUntilHeardAlsoByTheNextLife(t *testing.T) {
+	w := begin(t, "side_effect")
+	w.deaf = true
+	w.answer = func(_ int, rw http.ResponseWriter, _ string) { rw.WriteHeader(500) }
+	w.hand("a1", "x")
+	w.soon("called", w.called(1))
+	time.Sleep(100 * time.Millisecond)
+	w.kill()
+	w.mu.Lock()
+	w.deaf = false
+	w.mu.Unlock()
+	w.start()
+	w.soon("told", w.told(1))
+	time.Sleep(100 * time.Millisecond)
+	w.kill()
+	w.start()
+	time.Sleep(200 * time.Millisecond)
+	assert.Len(t, w.finals, 1, "once heard it is owed no more")
+}
+
+func TestSIGTERMAnswersFinishesCallsAndKeepsTheRest(t *testing.T) {
+	w := begin(t, "token")
+	w.answer = func(n int, rw http.ResponseWriter, _ string) {
+		if time.Sleep(time.Second); n > 1 {
+			rw.Header().Set("Retry-After", "4.5")
+			rw.WriteHeader(429)
+		}
+	}
+	w.hand("a1", "x")
+	w.soon("out", w.called(1))
+	w.hand("a2", "x")
+	require.NoError(t, w.process.Process.Signal(syscall.SIGTERM))
+	time.Sleep(50 * time.Millisecond)
+	resp := w.hand("a3", "x")
+	assert.Equal(t, 202, resp.StatusCode, "what still comes is taken on")
+	assert.True(t, resp.Close, "its client is to go elsewhere")
+	time.Sleep(600 * time.Millisecond)
+	assert.Equal(t, 503, w.hand("a4", "x").StatusCode)
+	began := time.Now()
+	assert.NoError(t, w.process.Wait())
+	assert.Less(t, time.Since(began), 3*time.Second)
+	w.answer = nil
+	before := len(w.calls)
+	w.start()
+	w.soon("the rest is delivered", w.called(before+1))
+	w.soon("each once more", func() bool {
+		text := fmt.Sprint(w.calls[before:])
+		return strings.Contains(text, "a2") && strings.Contains(text, "a3")
+	})
+	assert.NotContains(t, fmt.Sprint(w.calls[1:]), "{/events a1", "what had come back is over")
+}
+
+func TestBundlesFareWebhookByWebhook(t *testing.T) {
+	w := begin(t, "side_effect")
+	w.answer = func(n int, rw http.ResponseWriter, body string) {
+		if n == 1 {
+			rw.Header().Set("Retry-After", "0.4") // the others gather behind it
+			rw.WriteHeader(503)
+			return
+		}
+		ends := []string{"delivered", "failed", "over", "delivered"}
+		for i := range 4 {
+			if strings.Contains(body, fmt.Sprint("a", i, " ka")) {
+				fmt.Fprintf(rw, "a%d %s\r\n", i, ends[i])
+			}
+		}
+	}
+	for i := range 4 {
+		w.hand(fmt.Sprint("a", i), "bo\r\ndy")
+	}
+	w.soon("called", w.called(2))
+	w.soon("told", w.told(1))
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, "/events/bundle", w.calls[1].path)
+	assert.Contains(t, w.calls[1].body, "a1 ka1 6\r\nbo\r\ndy\r\n")
+	assert.Equal(t, []string{`{"message":"a1","outcome":"given_up"}`}, w.finals)
+	assert.Len(t, w.calls, 2)
+}
+
+func TestBadInputIsAnsweredAndHarmsNothing(t *testing.T) {
+	w := begin(t, "token")
+	w.answer = func(_ int, rw http.ResponseWriter, _ string) { hang(rw) }
+	for _, extra := range [][]string{{"Request-Id", ""}, {"Request-Id", "a b"}, {"Request-Id", strings.Repeat("x", 200)},
+		{"Request-Class", "other"}, {"Request-Timeout-Ms", "soon"}, {"Request-Timeout-Ms", "-5"},
+		{"X-Route-To", "dest=70000"}, {"X-Route-To", "7"}, {"X-Route-To", ""}, {"Idempotency-Key", ""}} {
+		assert.Equal(t, 400, w.hand("a1", "x", extra...).StatusCode, extra)
+	}
+	assert.Equal(t, 413, w.hand("a1", strings.Repeat("x", 64<<10+1)).StatusCode)
+	assert.Equal(t, 202, w.hand("a1", "x").StatusCode)
+	assert.Equal(t, 409, w.hand("a1", "x").StatusCode, "held already")
+	c, err := net.Dial("tcp", w.listen)
+	require.NoError(t, err)
+	defer c.Close()
+	fmt.Fprint(c, "POST /api HTTP/1.1\r\nContent-Length: -4\r\nnonsense\r\n\r\n")
+	line, _ := bufio.NewReader(c).ReadString('\n')
+	assert.Contains(t, line, "400")
+}
+
+func TestFullDiskRejectsAndIsNeverOverfilled(t *testing.T) {
+	w := begin(t, "token")
+	w.kill()
+	w.configure("token", 0.5)
+	w.start()
+	w.answer = func(_ int, rw http.ResponseWriter, _ string) { hang(rw) }
+	codes := map[int]int{}
+	for i := range 12 {
+		codes[w.hand(fmt.Sprint("a", i), strings.Repeat("x", 64<<10)).StatusCode]++
+	}
+	assert.Equal(t, 12, codes[202]+codes[503])
+	assert.Positive(t, codes[202])
+	assert.Positive(t, codes[503])
+	files, err := filepath.Glob(filepath.Join(w.dir, "webhooks.*"))
+	require.NoError(t, err)
+	sum := int64(0)
+	for _, f := range files {
+		info, err := os.Stat(f)
+		require.NoError(t, err)
+		sum += info.Size()
+	}
+	assert.Less(t, sum, int64(500_000))
+}
+
+func TestDrainToldWhileWatchingStopsCallsAndSilentWatchIsRenewed(t *testing.T) {
+	w := begin(t, "token")
+	w.kill()
+	watches := make(chan string, 9)
+	w.watch = func(since string, rw http.ResponseWriter) {
+		if watches <- since; since == "1" {
+			line, _ := json.Marshal(json.RawMessage(strings.Replace(w.listed("DRAINING"), `"generation":1,"reset":true`,
+				`"generation":2,"reset":false`, 1)))
+			fmt.Fprintf(rw, "\n%s\n", line)
+			rw.(http.Flusher).Flush()
+		}
+	}
+	w.start()
+	assert.Equal(t, "1", <-watches)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, 202, w.hand("a1", "x").StatusCode)
+	select {
+	case since := <-watches:
+		assert.Equal(t, "2", since, "it goes on from what it has")
+	case <-time.After(5 * time.Second):
+		assert.Fail(t, "a watch without its line is dead")
+	}
+	assert.Empty(t, w.calls)
+}
+
+func TestBrokenConfigurationEndsTheStartWithOneLine(t *testing.T) {
+	w := &world{t: t, dir: t.TempDir()}
+	for _, text := range []string{"", "{", "[]", `{"seed":"1"}`,
+		`{"seed":"1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{}}`} {
+		require.NoError(t, os.WriteFile(filepath.Join(w.dir, "config.json"), []byte(text), 0o600))
+		c := exec.Command(binary)
+		c.Env = []string{"LB_CONFIG=" + filepath.Join(w.dir, "config.json"), "LB_STATE=" + w.dir}
+		out, err := c.CombinedOutput()
+		assert.Error(t, err, text)
+		assert.Equal(t, 1, strings.Count(string(out), "\n"), text)
+	}
+}
