A notice that can't be read holds back no other; endpoints that move; docs of the sockets

Found by reading, each with a story: a notice answered 400 would have been sent for ever ahead of all others; idle connections of an endpoint whose address changed would have been used again; settings without a tick would have turned without end; the last outcomes before exit were not written down. The stories run without a race under the race detector, the program too.

--- a/control/control.go
+++ b/control/control.go
@@ -158,8 +158,8 @@
 	c.now = c.host.Now()
 	row := &c.events[min(int(evt), len(c.events)-1)]
 	w := &webhook{id: id, evt: row, dest: c.destination(dest), key: key, ttl: ttl, readyAt: c.now,
-		mayRun: mayRun, zone: zone, target: ttl - row.TTL + row.Target, over: c.overShare(tenant), attempts: attempts,
-		retries: max(attempts-1, 0)}
+		mayRun: mayRun, zone: zone, target: ttl - row.TTL + row.Target, over: c.overShare(tenant),
+		attempts: attempts, retries: max(attempts-1, 0)}
 	c.held[id], c.open = w, c.open+1
 	if row.Ordered && key != 0 {
 		t := cmp.Or(c.turns[key], &turn{restUntil: never})
--- a/examples/toyserver/main.go
+++ b/examples/toyserver/main.go
@@ -1,6 +1,6 @@
-// Command toyserver plays what stands round a dispatcher, so that one can be tried alone: the platform with its
-// endpoint list and its ear for notices, and two destinations. Destination 1 answers well; destination 2 turns
-// some calls away with a wait, fails some and takes bundles.
+// Command toyserver plays what stands round a dispatcher, so that one can be tried alone: the platform with
+// its endpoint list and its ear for notices, and two destinations. Destination 1 answers well; destination 2
+// turns some calls away with a wait, fails some and takes bundles.
 package main
 
 import (
@@ -72,7 +72,8 @@
 			return
 		}
 		if r.URL.Path == "/events" {
-			log.Printf("%s got %s, key %s: %q", name, r.Header.Get("Request-Id"), r.Header.Get("Idempotency-Key"), body)
+			h := r.Header
+			log.Printf("%s got %s, key %s: %q", name, h.Get("Request-Id"), h.Get("Idempotency-Key"), body)
 			return
 		}
 		for in := bufio.NewReader(strings.NewReader(string(body))); ; {
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -12,7 +12,8 @@
 
 func TestPairsAndNestedJSONSayTheSame(t *testing.T) {
 	pairs, err := FromPairs(7, "classes.count=1\nclasses.0.aim=2500000999\nclasses.0.deadline=9000000000\n"+
-		"classes.0.repeat=token\nclasses.0.group=all\nclasses.0.lateValue=0.3\nkinds=a_b,c\nfamilyInfo.batchByKind=10,1\n"+
+		"classes.0.repeat=token\nclasses.0.group=all\nclasses.0.lateValue=0.3\n"+
+		"kinds=a_b,c\nfamilyInfo.batchByKind=10,1\n"+
 		"familyInfo.kindApart=false,true\nfamilyInfo.slots=4\nlimits.cancel=true\nweightSource=rough\n")
 	require.NoError(t, err)
 	nested, names, idle, err := FromJSON(7, gjson.Parse(`{"classes":[{"aim":2500000999,"deadline":9000000000,
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -7,8 +7,8 @@
 	"syscall"
 )
 
-// Look tells whether nothing waits to be read on a connection that is still up, and whether the other side has
-// ended it.
+// Look tells whether nothing waits to be read on a connection that is still up, and whether the other side
+// has ended it.
 func Look(c net.Conn) (quiet, ended bool) {
 	tcp, ok := c.(syscall.Conn)
 	if !ok {
--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -39,7 +39,8 @@
 }
 
 // New makes a server that holds at most mostOpen connections.
-func New(x *exchange.Exchange, life *lifecycle.Life, f gateway.Facts, names facts.Names, mostOpen int) *Clients {
+func New(x *exchange.Exchange, life *lifecycle.Life, f gateway.Facts, names facts.Names,
+	mostOpen int) *Clients {
 	s := &Clients{x: x, life: life, names: names, types: f.EventTypes}
 	s.server = fasthttp.Server{
 		Handler: s.handle, Name: "rowanlink", Concurrency: mostOpen, MaxRequestBodySize: mostBody,
@@ -154,7 +155,8 @@
 	if !ok {
 		return nil, "X-Route-To names no dest"
 	}
-	w = &exchange.Webhook{RequestID: id, Token: token, Body: bytes.Clone(ctx.PostBody()), Destination: dest,
+	w = &exchange.Webhook{RequestID: exchange.RequestID(id), Token: exchange.Token(token),
+		Body: bytes.Clone(ctx.PostBody()), Destination: dest,
 		Event: gateway.EventTypeID(evt), Tenant: math.MaxUint32, TTL: now + gateway.Micros(ms)*1000, CameAt: now}
 	if i := slices.Index(s.names.Tenants, string(h.Peek("Tenant"))); i >= 0 {
 		w.Tenant = gateway.TenantID(i)
--- a/node/decider/decider.go
+++ b/node/decider/decider.go
@@ -1,5 +1,5 @@
-// Package decider runs the decision module: one goroutine owns it and is its Host. A turn takes all that waits,
-// lets the module decide once, writes down what was decided, and only then acts on it.
+// Package decider runs the decision module: one goroutine owns it and is its Host. A turn takes all that
+// waits, lets the module decide once, writes down what was decided, and only then acts on it.
 package decider
 
 import (
@@ -16,7 +16,7 @@
 )
 
 // answerWithin is the protocol's: a client that waited longer for its answer has gone and may come again.
-const answerWithin = 400_000 * gateway.Micros(1)
+const answerWithin = 2 * gateway.Second / 5
 
 // sweepTicks is how many ticks lie between two looks at idle connections.
 const sweepTicks = 20
@@ -35,7 +35,7 @@
 	turned gateway.Micros // when the last turn was
 	nextID gateway.WebhookID
 	held   map[gateway.WebhookID]*exchange.Webhook
-	ids    map[string]bool // request ids of those held
+	ids    map[exchange.RequestID]bool // of those held
 	zones  map[gateway.EndpointID]gateway.ZoneID
 	dues   due.Times[func()]
 	stages []func(*exchange.Webhook) bool
@@ -57,8 +57,9 @@
 
 // New makes a decider; Begin gives it its parts, which call back to it.
 func New(x *exchange.Exchange, life *lifecycle.Life, j *journal.Journal, f gateway.Facts) *Decider {
+	f.Buffer, f.Tick = max(f.Buffer, 1), max(f.Tick, 1)
 	d := &Decider{x: x, life: life, journal: j, facts: f, now: exchange.Now(), nextID: 1,
-		held: map[gateway.WebhookID]*exchange.Webhook{}, ids: map[string]bool{},
+		held: map[gateway.WebhookID]*exchange.Webhook{}, ids: map[exchange.RequestID]bool{},
 		zones: map[gateway.EndpointID]gateway.ZoneID{}, fresh: map[gateway.WebhookID]*exchange.Webhook{}}
 	d.stages = []func(*exchange.Webhook) bool{d.inTime, d.room, d.once, d.take}
 	return d
@@ -107,6 +108,7 @@
 		}
 		d.turn()
 	}
+	d.turn() // what came back last is written down
 }
 
 // Empty tells whether nothing is held and no call is out.
@@ -269,8 +271,8 @@
 }
 
 // Outcome notes it and hands it to the module.
-func (d *Decider) Outcome(w *exchange.Webhook, ep gateway.EndpointID, what gateway.Outcome, took gateway.Micros,
-	over bool, wait gateway.Micros) {
+func (d *Decider) Outcome(w *exchange.Webhook, ep gateway.EndpointID, what gateway.Outcome,
+	took gateway.Micros, over bool, wait gateway.Micros) {
 	ended := what == gateway.Delivered || over
 	if ended {
 		d.journal.End(w.ID, nil)
--- a/node/endpoints/conn.go
+++ b/node/endpoints/conn.go
@@ -109,9 +109,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.all[id]; e != nil {
-		for _, l := range e.idle {
-			s.close(l)
-		}
-		e.idle = nil
+		s.closeIdle(e)
+	}
+}
+
+func (s *Endpoints) closeIdle(e *endpoint) {
+	for _, l := range e.idle {
+		s.close(l)
 	}
+	e.idle = nil
 }
--- a/node/endpoints/endpoints.go
+++ b/node/endpoints/endpoints.go
@@ -64,7 +64,11 @@
 
 // New makes a pool of at most mostOpen connections. Those idle are closed well inside the time after which
 // the other side does so: a call that crosses its close would end as a reset.
-func New(counts *exchange.Counters, came Came, connectTimeout, idleLimit gateway.Micros, mostOpen int) *Endpoints {
+func New(counts *exchange.Counters, came Came, connectTimeout, idleLimit gateway.Micros,
+	mostOpen int) *Endpoints {
+	if connectTimeout <= 0 { // none is stated: patience alone ends a connect
+		connectTimeout = math.MaxInt64
+	}
 	return &Endpoints{counts: counts, came: came, connectTimeout: connectTimeout, idleFor: idleLimit * 4 / 5,
 		mostOpen: max(mostOpen, 1), all: map[gateway.EndpointID]*endpoint{}, waits: map[route]gateway.Micros{},
 		out: map[gateway.WebhookID]*call{}}
@@ -82,7 +86,8 @@
 		}
 		s.all[l.Endpoint] = e
 	}
-	if e.listed = l.Standing == gateway.Listed; addr != "" {
+	if e.listed = l.Standing == gateway.Listed; addr != "" && addr != e.addr {
+		s.closeIdle(e) // they lead elsewhere
 		e.addr = addr
 	}
 }
@@ -152,8 +157,8 @@
 	what gateway.Outcome
 	over bool
 	wait gateway.Micros
-	each map[string]string // by id, where the webhooks of a bundle fared differently
-	keep bool              // the connection may be used again
+	each map[exchange.RequestID]string // by id, where the webhooks of a bundle fared differently
+	keep bool                          // the connection may be used again
 }
 
 // run makes one call from connect to answer.
@@ -254,9 +259,9 @@
 	if len(k.webhooks) == 1 {
 		w := k.webhooks[0]
 		req.SetRequestURI("/events")
-		req.Header.Set("Request-Id", w.RequestID)
+		req.Header.Set("Request-Id", string(w.RequestID))
 		if w.Token != "" {
-			req.Header.Set("Idempotency-Key", w.Token)
+			req.Header.Set("Idempotency-Key", string(w.Token))
 		}
 		req.SetBodyRaw(w.Body)
 		return
@@ -268,7 +273,7 @@
 		if token == "" {
 			token = "-"
 		}
-		body.WriteString(w.RequestID + " " + token + " " + strconv.Itoa(len(w.Body)) + "\r\n")
+		body.WriteString(string(w.RequestID+" ") + string(token) + " " + strconv.Itoa(len(w.Body)) + "\r\n")
 		body.Write(w.Body)
 		body.WriteString("\r\n")
 	}
@@ -282,10 +287,10 @@
 	case 200:
 		f.what = gateway.Delivered
 		if bundle {
-			f.each = map[string]string{}
+			f.each = map[exchange.RequestID]string{}
 			for line := range bytes.Lines(resp.Body()) {
 				if fields := bytes.Fields(line); len(fields) == 2 {
-					f.each[string(fields[0])] = string(fields[1])
+					f.each[exchange.RequestID(fields[0])] = string(fields[1])
 				}
 			}
 		}
--- a/node/endpoints/endpoints_test.go
+++ b/node/endpoints/endpoints_test.go
@@ -144,6 +144,15 @@
 	assert.Equal(t, gateway.NotSent, (<-ends).what, "draining")
 }
 
+func TestEndpointThatMovedIsCalledAtItsNewAddress(t *testing.T) {
+	s, send, ends := at(script(t, answer("200 OK")))
+	send(gateway.Second)
+	assert.Equal(t, gateway.Delivered, (<-ends).what)
+	s.Place(gateway.Entry{Endpoint: 1, Destination: 3}, script(t, answer("503 New")), gateway.Kind{Batch: 1})
+	send(gateway.Second)
+	assert.Equal(t, gateway.Full, (<-ends).what)
+}
+
 func TestCancelEndsTheConnection(t *testing.T) {
 	ended := make(chan bool, 1)
 	s, send, ends := at(script(t, func(c net.Conn, in *bufio.Reader) { silent(c, in); ended <- true }))
--- a/node/exchange/counters.go
+++ b/node/exchange/counters.go
@@ -10,7 +10,7 @@
 // Counters count what is taken in, sent and answered since the start.
 type Counters struct {
 	Accepted, Rejected, Malformed, Resumed   atomic.Int64 // webhooks, by the answer to their client
-	Calls, Bundled, Connections              atomic.Int64 // calls out, webhooks that shared one, connections opened
+	Calls, Bundled, Connections              atomic.Int64 // out; webhooks that shared one; opened
 	Outcomes                                 [8]atomic.Int64
 	GivenUp, HandedBack, Over, Told, Untold  atomic.Int64 // ends by notice; notices heard, and tries not heard
 	Lists, ListsBroken, Turns, JournalErrors atomic.Int64
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -21,11 +21,17 @@
 // Span is a time from the clock's point of view as the standard library has it.
 func Span(t gateway.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
 
+// RequestID is a webhook's name on the sockets, Token the mark by which a repeat is known; empty: none.
+type (
+	RequestID string
+	Token     string
+)
+
 // Webhook is one webhook as it came: what goes on unchanged stays bytes.
 type Webhook struct {
 	ID        gateway.WebhookID
-	RequestID string
-	Token     string // idempotency key, or empty
+	RequestID RequestID
+	Token     Token
 	Body      []byte
 
 	Event       gateway.EventTypeID
@@ -52,8 +58,8 @@
 	retryIn gateway.Micros
 }
 
-// Exchange holds what waits for the decider. What waits is bounded: a client's connection has one webhook at a
-// time, a slot one call, and the list is read line by line.
+// Exchange holds what waits for the decider. What waits is bounded: a client's connection has one webhook at
+// a time, a slot one call, and the list is read line by line.
 type Exchange struct {
 	Counters
 	mu       sync.Mutex
@@ -65,8 +71,8 @@
 // New makes an exchange in which nothing waits.
 func New() *Exchange { return &Exchange{bell: make(chan struct{}, 1)} }
 
-// HandIn puts a webhook in for the next turn and waits for its answer; one rejected may be told a time to come
-// back (0: none).
+// HandIn puts a webhook in for the next turn and waits for its answer; one rejected may be told a time to
+// come back (0: none).
 func (x *Exchange) HandIn(w *Webhook) (what Answer, retryIn gateway.Micros) {
 	w.answer = make(chan answer, 1)
 	x.mu.Lock()
@@ -115,7 +121,7 @@
 	b = binary.LittleEndian.AppendUint64(b, uint64(w.Key))
 	b = binary.LittleEndian.AppendUint16(b, uint16(w.Destination))
 	b = binary.LittleEndian.AppendUint64(b, uint64(w.TTL))
-	for _, text := range []string{w.RequestID, w.Token} {
+	for _, text := range []string{string(w.RequestID), string(w.Token)} {
 		b = binary.LittleEndian.AppendUint16(b, uint16(len(text)))
 		b = append(b, text...)
 	}
@@ -134,14 +140,15 @@
 		Destination: gateway.DestinationID(binary.LittleEndian.Uint16(b[13:])),
 		TTL:         gateway.Micros(binary.LittleEndian.Uint64(b[15:]))}
 	b = b[fixed:]
-	for _, text := range []*string{&w.RequestID, &w.Token} {
+	texts := [2]string{}
+	for i := range texts {
 		if len(b) < 2 || len(b) < 2+int(binary.LittleEndian.Uint16(b)) {
 			return nil, errBroken
 		}
 		n := 2 + int(binary.LittleEndian.Uint16(b))
-		*text, b = string(b[2:n]), b[n:]
+		texts[i], b = string(b[2:n]), b[n:]
 	}
-	w.Body = b
+	w.RequestID, w.Token, w.Body = RequestID(texts[0]), Token(texts[1]), b
 	return w, nil
 }
 
--- a/node/journal/journal.go
+++ b/node/journal/journal.go
@@ -73,9 +73,9 @@
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	for len(old) >= recordHead {
-		n := int(binary.LittleEndian.Uint32(old))
+		n, sum := int(binary.LittleEndian.Uint32(old)), binary.LittleEndian.Uint32(old[4:])
 		// A process killed in the middle of a write leaves a torn tail: nothing was done on its word.
-		if n < recordHead-8 || n > len(old)-8 || crc32.ChecksumIEEE(old[8:8+n]) != binary.LittleEndian.Uint32(old[4:]) {
+		if n < recordHead-8 || n > len(old)-8 || crc32.ChecksumIEEE(old[8:8+n]) != sum {
 			break
 		}
 		j.replay(old[8], gateway.WebhookID(binary.LittleEndian.Uint32(old[9:])), old[recordHead:8+n])
@@ -104,7 +104,8 @@
 		}
 	case e == nil:
 	case kind == called && len(rest) >= 10:
-		e.call(gateway.Micros(binary.LittleEndian.Uint64(rest)), gateway.ZoneID(binary.LittleEndian.Uint16(rest[8:])))
+		at, zone := binary.LittleEndian.Uint64(rest), binary.LittleEndian.Uint16(rest[8:])
+		e.call(gateway.Micros(at), gateway.ZoneID(zone))
 	case kind == neverRan:
 		e.neverRan()
 	case kind == told:
@@ -200,8 +201,8 @@
 	j.anew = true
 }
 
-// Commit writes all that was noted since the last one. Only then may it be acted on. After an error nothing of
-// it counts as written; the next Commit writes all that is known anew.
+// Commit writes all that was noted since the last one. Only then may it be acted on. After an error nothing
+// of it counts as written; the next Commit writes all that is known anew.
 func (j *Journal) Commit() error {
 	if len(j.pending) == 0 && !j.anew {
 		return nil
--- a/node/journal/journal_test.go
+++ b/node/journal/journal_test.go
@@ -32,7 +32,8 @@
 	j.NeverRan(7)
 	require.NoError(t, j.Commit())
 	for range 2 { // read from the records, then from the file written anew
-		assert.Equal(t, []*Entry{{ID: 7, Taken: []byte("taken"), Attempts: 3, MayRun: 200, Zone: 1}}, entries(t, dir))
+		want := Entry{ID: 7, Taken: []byte("taken"), Attempts: 3, MayRun: 200, Zone: 1}
+		assert.Equal(t, []*Entry{&want}, entries(t, dir))
 	}
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,10 +1,9 @@
-// Package node_test tells short stories of the whole dispatcher: its program, started and killed as in service,
-// between a client, endpoints and a platform that the test plays on loopback.
+// Package node_test tells short stories of the whole dispatcher: its program, started and killed as in
+// service, between a client, endpoints and a platform that the test plays on loopback.
 package node_test
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -49,7 +49,8 @@
 	mu     sync.Mutex
 	calls  []got
 	finals []string
-	deaf   bool // the platform does not hear notices
+	deaf   bool   // the platform does not hear notices
+	odd    string // nor can it read those that hold this
 	list   string
 	watch  func(since string, w http.ResponseWriter) // writes what the watch says after the list
 	answer func(n int, w http.ResponseWriter, body string)
@@ -59,8 +60,9 @@
 	out                             *strings.Builder
 }
 
-const settings = `{"classes":[{"aim":2500000000,"deadline":9000000000,"group":"all","name":"status","repeat":"%s",
- "window":8000000000,"worth":1,"lateValue":0.3}],"kinds":["bulk"],"zones":["a"],"fleetSize":1,"period":5000000,
+const settings = `{"classes":[{"aim":2500000000,"deadline":9000000000,"group":"all","name":"status",
+ "repeat":"%s","window":8000000000,"worth":1,"lateValue":0.3}],
+ "kinds":["bulk"],"zones":["a"],"fleetSize":1,"period":5000000,
  "familyInfo":{"slots":6,"batchByKind":[4],"kindApart":[false]},"weightSource":"nominal",
  "limits":{"openCap":50,"maxAttempts":8,"connectTimeout":300000000,"keepalive":1000000000,"cancel":true,
  "retryAfter":true,"maxRetryAfter":3000000000},
@@ -108,7 +110,8 @@
 func (w *world) event(rw http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	w.mu.Lock()
-	w.calls = append(w.calls, got{r.URL.Path, r.Header.Get("Request-Id"), r.Header.Get("Idempotency-Key"), string(body)})
+	h := r.Header
+	w.calls = append(w.calls, got{r.URL.Path, h.Get("Request-Id"), h.Get("Idempotency-Key"), string(body)})
 	n, answer := len(w.calls), w.answer
 	w.mu.Unlock()
 	if answer != nil {
@@ -125,14 +128,21 @@
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if w.odd != "" && strings.Contains(string(body), w.odd) {
+			rw.WriteHeader(http.StatusBadRequest)
+			return
+		}
 		w.finals = append(w.finals, strings.Split(strings.TrimSpace(string(body)), "\n")...)
 		rw.WriteHeader(http.StatusNoContent)
 		return
 	}
 	rw.WriteHeader(http.StatusOK)
 	rw.(http.Flusher).Flush()
-	if w.watch != nil {
-		w.watch(r.URL.Query().Get("since"), rw)
+	w.mu.Lock()
+	watch := w.watch
+	w.mu.Unlock()
+	if watch != nil {
+		watch(r.URL.Query().Get("since"), rw)
 	}
 	<-r.Context().Done()
 }
@@ -143,7 +153,7 @@
 	w.out = &strings.Builder{}
 	w.process.Stdout, w.process.Stderr = w.out, w.out
 	require.NoError(w.t, w.process.Start())
-	w.t.Cleanup(func() { w.process.Process.Kill(); w.process.Wait() })
+	w.t.Cleanup(w.kill)
 	w.soon("ready", func() bool {
 		resp, err := http.Get("http://" + w.listen + "/health/ready")
 		return err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
@@ -153,6 +163,8 @@
 func (w *world) kill() {
 	w.process.Process.Kill()
 	w.process.Wait()
+	assert.NotContains(w.t, w.out.String(), "DATA RACE") // where the program is built to tell
+	assert.NotContains(w.t, w.out.String(), "panic")
 }
 
 func (w *world) soon(what string, is func() bool) {
@@ -161,11 +173,37 @@
 }
 
 func (w *world) called(n int) func() bool {
-	return func() bool { w.mu.Lock(); defer w.mu.Unlock(); return len(w.calls) >= n }
+	return func() bool { return len(w.seen()) >= n }
+}
+
+// seen are the calls so far.
+func (w *world) seen() []got {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.calls)
+}
+
+// set changes how the world behaves from now on.
+func (w *world) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
 }
 
 func (w *world) told(n int) func() bool {
-	return func() bool { w.mu.Lock(); defer w.mu.Unlock(); return len(w.finals) >= n }
+	return func() bool { return len(w.heard()) >= n }
+}
+
+// heard are the notices so far.
+func (w *world) heard() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.finals)
+}
+
+// answers sets what endpoints answer to their n-th call; nil: that it is delivered.
+func (w *world) answers(f func(n int, w http.ResponseWriter, body string)) {
+	w.set(func() { w.answer = f })
 }
 
 // hand hands a webhook in; extra headers replace the usual ones, an empty one leaves it out.
@@ -210,7 +248,7 @@
 	w := begin(t, "token")
 	assert.Equal(t, 202, w.hand("a1", "any \x00\r\nbytes").StatusCode)
 	w.soon("called", w.called(1))
-	assert.Equal(t, got{"/events", "a1", "ka1", "any \x00\r\nbytes"}, w.calls[0])
+	assert.Equal(t, got{"/events", "a1", "ka1", "any \x00\r\nbytes"}, w.seen()[0])
 	w.soon("counted", func() bool {
 		resp, err := http.Get("http://" + w.listen + "/metrics")
 		require.NoError(t, err)
@@ -222,11 +260,11 @@
 
 func TestKilledItStillOwesWhatItTookOn(t *testing.T) {
 	w := begin(t, "token")
-	w.answer = func(n int, rw http.ResponseWriter, _ string) {
+	w.answers(func(n int, rw http.ResponseWriter, _ string) {
 		if n == 1 {
 			hang(rw)
 		}
-	}
+	})
 	for i := range 3 {
 		assert.Equal(t, 202, w.hand(fmt.Sprint("a", i), "x").StatusCode)
 	}
@@ -235,9 +273,7 @@
 	w.start()
 	seen := map[string]bool{}
 	w.soon("all delivered", func() bool {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		for _, c := range w.calls[1:] {
+		for _, c := range w.seen()[1:] {
 			for i := range 3 {
 				if id := fmt.Sprint("a", i); c.id == id || strings.Contains(c.body, id+" ka") {
 					seen[id] = true
@@ -250,54 +286,65 @@
 
 func TestAtMostOnceIsNotSentAgainAfterAKill(t *testing.T) {
 	w := begin(t, "side_effect")
-	w.answer = func(_ int, rw http.ResponseWriter, _ string) { hang(rw) }
+	w.answers(func(_ int, rw http.ResponseWriter, _ string) { hang(rw) })
 	w.hand("a1", "x")
 	w.soon("the call is out", w.called(1))
 	w.kill()
 	w.start()
 	w.soon("its end is told", w.told(1))
-	assert.JSONEq(t, `{"message":"a1","outcome":"given_up"}`, w.finals[0])
-	assert.Len(t, w.calls, 1)
+	assert.JSONEq(t, `{"message":"a1","outcome":"given_up"}`, w.heard()[0])
+	assert.Len(t, w.seen(), 1)
 }
 
 func TestBrokenConnectionIsNoReasonToRepeatByItself(t *testing.T) {
 	w := begin(t, "side_effect")
 	w.hand("a0", "x") // leaves a connection idle, on which an HTTP client would dare to repeat
 	w.soon("delivered", w.called(1))
-	w.answer = func(_ int, rw http.ResponseWriter, _ string) { breakOff(rw) }
+	w.answers(func(_ int, rw http.ResponseWriter, _ string) { breakOff(rw) })
 	w.hand("a1", "x")
 	w.soon("its end is told", w.told(1))
-	assert.Len(t, w.calls, 2)
+	assert.Len(t, w.seen(), 2)
 }
 
 func TestNoticesAreOwedUntilHeardAlsoByTheNextLife(t *testing.T) {
 	w := begin(t, "side_effect")
-	w.deaf = true
-	w.answer = func(_ int, rw http.ResponseWriter, _ string) { rw.WriteHeader(500) }
+	w.set(func() { w.deaf = true })
+	w.answers(func(_ int, rw http.ResponseWriter, _ string) { rw.WriteHeader(500) })
 	w.hand("a1", "x")
 	w.soon("called", w.called(1))
 	time.Sleep(100 * time.Millisecond)
 	w.kill()
-	w.mu.Lock()
-	w.deaf = false
-	w.mu.Unlock()
+	w.set(func() { w.deaf = false })
 	w.start()
 	w.soon("told", w.told(1))
 	time.Sleep(100 * time.Millisecond)
 	w.kill()
 	w.start()
 	time.Sleep(200 * time.Millisecond)
-	assert.Len(t, w.finals, 1, "once heard it is owed no more")
+	assert.Len(t, w.heard(), 1, "once heard it is owed no more")
+}
+
+func TestNoticeThatCantBeReadHoldsBackNoOther(t *testing.T) {
+	w := begin(t, "side_effect")
+	w.set(func() { w.deaf, w.odd = true, "a1" })
+	w.answers(func(_ int, rw http.ResponseWriter, _ string) { rw.WriteHeader(500) })
+	for i := range 3 {
+		w.hand(fmt.Sprint("a", i), "x")
+	}
+	w.soon("called", w.called(2))
+	w.set(func() { w.deaf = false })
+	w.soon("told", w.told(2))
+	assert.NotContains(t, fmt.Sprint(w.heard()), "a1")
 }
 
 func TestSIGTERMAnswersFinishesCallsAndKeepsTheRest(t *testing.T) {
 	w := begin(t, "token")
-	w.answer = func(n int, rw http.ResponseWriter, _ string) {
+	w.answers(func(n int, rw http.ResponseWriter, _ string) {
 		if time.Sleep(time.Second); n > 1 {
 			rw.Header().Set("Retry-After", "4.5")
 			rw.WriteHeader(429)
 		}
-	}
+	})
 	w.hand("a1", "x")
 	w.soon("out", w.called(1))
 	w.hand("a2", "x")
@@ -311,20 +358,20 @@
 	began := time.Now()
 	assert.NoError(t, w.process.Wait())
 	assert.Less(t, time.Since(began), 3*time.Second)
-	w.answer = nil
-	before := len(w.calls)
+	w.answers(nil)
+	before := len(w.seen())
 	w.start()
 	w.soon("the rest is delivered", w.called(before+1))
 	w.soon("each once more", func() bool {
-		text := fmt.Sprint(w.calls[before:])
+		text := fmt.Sprint(w.seen()[before:])
 		return strings.Contains(text, "a2") && strings.Contains(text, "a3")
 	})
-	assert.NotContains(t, fmt.Sprint(w.calls[1:]), "{/events a1", "what had come back is over")
+	assert.NotContains(t, fmt.Sprint(w.seen()[1:]), "{/events a1", "what had come back is over")
 }
 
 func TestBundlesFareWebhookByWebhook(t *testing.T) {
 	w := begin(t, "side_effect")
-	w.answer = func(n int, rw http.ResponseWriter, body string) {
+	w.answers(func(n int, rw http.ResponseWriter, body string) {
 		if n == 1 {
 			rw.Header().Set("Retry-After", "0.4") // the others gather behind it
 			rw.WriteHeader(503)
@@ -336,23 +383,24 @@
 				fmt.Fprintf(rw, "a%d %s\r\n", i, ends[i])
 			}
 		}
-	}
+	})
 	for i := range 4 {
 		w.hand(fmt.Sprint("a", i), "bo\r\ndy")
 	}
 	w.soon("called", w.called(2))
 	w.soon("told", w.told(1))
 	time.Sleep(100 * time.Millisecond)
-	assert.Equal(t, "/events/bundle", w.calls[1].path)
-	assert.Contains(t, w.calls[1].body, "a1 ka1 6\r\nbo\r\ndy\r\n")
-	assert.Equal(t, []string{`{"message":"a1","outcome":"given_up"}`}, w.finals)
-	assert.Len(t, w.calls, 2)
+	assert.Equal(t, "/events/bundle", w.seen()[1].path)
+	assert.Contains(t, w.seen()[1].body, "a1 ka1 6\r\nbo\r\ndy\r\n")
+	assert.Equal(t, []string{`{"message":"a1","outcome":"given_up"}`}, w.heard())
+	assert.Len(t, w.seen(), 2)
 }
 
 func TestBadInputIsAnsweredAndHarmsNothing(t *testing.T) {
 	w := begin(t, "token")
-	w.answer = func(_ int, rw http.ResponseWriter, _ string) { hang(rw) }
-	for _, extra := range [][]string{{"Request-Id", ""}, {"Request-Id", "a b"}, {"Request-Id", strings.Repeat("x", 200)},
+	w.answers(func(_ int, rw http.ResponseWriter, _ string) { hang(rw) })
+	for _, extra := range [][]string{{"Request-Id", ""}, {"Request-Id", "a b"},
+		{"Request-Id", strings.Repeat("x", 200)},
 		{"Request-Class", "other"}, {"Request-Timeout-Ms", "soon"}, {"Request-Timeout-Ms", "-5"},
 		{"X-Route-To", "dest=70000"}, {"X-Route-To", "7"}, {"X-Route-To", ""}, {"Idempotency-Key", ""}} {
 		assert.Equal(t, 400, w.hand("a1", "x", extra...).StatusCode, extra)
@@ -373,7 +421,7 @@
 	w.kill()
 	w.configure("token", 0.5)
 	w.start()
-	w.answer = func(_ int, rw http.ResponseWriter, _ string) { hang(rw) }
+	w.answers(func(_ int, rw http.ResponseWriter, _ string) { hang(rw) })
 	codes := map[int]int{}
 	for i := range 12 {
 		codes[w.hand(fmt.Sprint("a", i), strings.Repeat("x", 64<<10)).StatusCode]++
@@ -396,14 +444,14 @@
 	w := begin(t, "token")
 	w.kill()
 	watches := make(chan string, 9)
-	w.watch = func(since string, rw http.ResponseWriter) {
+	watch := func(since string, rw http.ResponseWriter) {
 		if watches <- since; since == "1" {
-			line, _ := json.Marshal(json.RawMessage(strings.Replace(w.listed("DRAINING"), `"generation":1,"reset":true`,
-				`"generation":2,"reset":false`, 1)))
-			fmt.Fprintf(rw, "\n%s\n", line)
+			whole, change := `"generation":1,"reset":true`, `"generation":2,"reset":false`
+			fmt.Fprintf(rw, "\n%s\n", strings.Replace(w.listed("DRAINING"), whole, change, 1))
 			rw.(http.Flusher).Flush()
 		}
 	}
+	w.set(func() { w.watch = watch })
 	w.start()
 	assert.Equal(t, "1", <-watches)
 	time.Sleep(100 * time.Millisecond)
@@ -414,7 +462,7 @@
 	case <-time.After(5 * time.Second):
 		assert.Fail(t, "a watch without its line is dead")
 	}
-	assert.Empty(t, w.calls)
+	assert.Empty(t, w.seen())
 }
 
 func TestBrokenConfigurationEndsTheStartWithOneLine(t *testing.T) {
--- a/node/notices/notices.go
+++ b/node/notices/notices.go
@@ -28,24 +28,26 @@
 	mu     sync.Mutex
 	ids    []gateway.WebhookID
 	lines  [][]byte
+	most   int // in the next call
 	bell   chan struct{}
 }
 
 // New makes the sender; heard is told which notices were answered.
 func New(addr string, counts *exchange.Counters, heard func([]gateway.WebhookID)) *Notices {
 	// fasthttp's client may repeat a call by itself: here that does no harm.
-	return &Notices{counts: counts, url: "http://" + addr + "/v2/finals", heard: heard, bell: make(chan struct{}, 1),
+	return &Notices{counts: counts, url: "http://" + addr + "/v2/finals", heard: heard, most: mostOnce,
+		bell:   make(chan struct{}, 1),
 		client: fasthttp.HostClient{Addr: addr, MaxConns: 1, ReadTimeout: within, WriteTimeout: within}}
 }
 
 // GivenUp is the notice of a dead-lettered webhook.
-func GivenUp(requestID string) []byte {
-	return []byte(`{"message":` + strconv.Quote(requestID) + `,"outcome":"given_up"}` + "\n")
+func GivenUp(requestID exchange.RequestID) []byte {
+	return []byte(`{"message":` + strconv.Quote(string(requestID)) + `,"outcome":"given_up"}` + "\n")
 }
 
 // HandedBack is the notice of a rejected webhook, with the time after which to come again, if any.
-func HandedBack(requestID string, retryIn gateway.Micros) []byte {
-	line := `{"message":` + strconv.Quote(requestID) + `,"outcome":"handed_back"`
+func HandedBack(requestID exchange.RequestID, retryIn gateway.Micros) []byte {
+	line := `{"message":` + strconv.Quote(string(requestID)) + `,"outcome":"handed_back"`
 	if retryIn > 0 {
 		line += `,"retry_in_ms":` + strconv.FormatInt(int64((retryIn+999)/1000), 10)
 	}
@@ -74,7 +76,7 @@
 // once sends what waits, and tells whether more does.
 func (n *Notices) once() bool {
 	n.mu.Lock()
-	count := min(len(n.ids), mostOnce)
+	count := min(len(n.ids), n.most)
 	ids, lines := n.ids[:count], n.lines[:count]
 	n.mu.Unlock()
 	if count == 0 {
@@ -90,7 +92,13 @@
 		req.AppendBody(line)
 	}
 	err := n.client.DoTimeout(req, resp, within)
-	if err != nil || resp.StatusCode() != fasthttp.StatusNoContent {
+	unread := err == nil && resp.StatusCode() == fasthttp.StatusBadRequest
+	if unread && count == 1 { // it will never be read: guards those behind it
+		slog.Error("notice not understood", "line", string(lines[0]))
+	} else if err != nil || resp.StatusCode() != fasthttp.StatusNoContent {
+		if unread { // one of them: from now on each goes alone
+			n.most = 1
+		}
 		n.counts.Untold.Add(1)
 		slog.Warn("notices not heard", "count", count, "status", resp.StatusCode(), "err", err)
 		time.Sleep(pause)
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -1,5 +1,5 @@
-// Package registry follows the endpoint list: it starts from the list this dispatcher last held and watches for
-// changes from there on.
+// Package registry follows the endpoint list: it starts from the list this dispatcher last held and watches
+// for changes from there on.
 package registry
 
 import (
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"slices"
 	"strconv"
@@ -43,7 +42,8 @@
 
 // New makes a watch of the registry at an address; broken is called for each object that can't be read.
 func New(addr string, names facts.Names, listed Listed, broken func()) *Registry {
-	return &Registry{addr: addr, names: names, listed: listed, broken: broken, ids: map[string]gateway.EndpointID{}}
+	return &Registry{addr: addr, names: names, listed: listed, broken: broken,
+		ids: map[string]gateway.EndpointID{}}
 }
 
 // Take reads one list object and tells what stands in it.
@@ -58,8 +58,9 @@
 		id, addr, cell := l.Get("instanceId").String(), l.Get("hostPort").String(), l.Get("cell")
 		standing, known := standings[l.Get("lifecycle").String()]
 		_, _, err := net.SplitHostPort(addr)
-		if id == "" || !known || err != nil && standing != gateway.Gone || cell.Float() != math.Trunc(cell.Float()) ||
-			cell.Type != gjson.Number || cell.Float() < 0 || cell.Float() > math.MaxUint16 {
+		dest := gateway.DestinationID(cell.Uint())
+		if id == "" || !known || err != nil && standing != gateway.Gone ||
+			cell.Type != gjson.Number || cell.Float() != float64(dest) {
 			slog.Warn("list entry left out", "entry", l.Raw)
 			continue
 		}
@@ -71,7 +72,7 @@
 			rate = 0
 		}
 		entries = append(entries, gateway.Entry{Endpoint: r.ids[id], Standing: standing, Rate: rate,
-			Destination: gateway.DestinationID(cell.Int()), Kind: gateway.KindID(place(r.names.Kinds, l.Get("machineType"))),
+			Destination: dest, Kind: gateway.KindID(place(r.names.Kinds, l.Get("machineType"))),
 			Zone: gateway.ZoneID(place(r.names.Zones, l.Get("zone")))})
 		addrs = append(addrs, addr)
 	}
