--- a/node/node_test.go
+++ b/node/node_test.go
@@ -416,6 +416,22 @@
 	assert.Contains(t, line, "400")
 }
 
+func TestWebhookWhoseClientHasGoneIsNotTakenOn(t *testing.T) {
+	w := begin(t, "token")
+	require.NoError(t, w.process.Process.Signal(syscall.SIGSTOP)) // the process stands still
+	c, err := net.Dial("tcp", w.listen)
+	require.NoError(t, err)
+	fmt.Fprint(c, "POST /api HTTP/1.1\r\nHost: a\r\nRequest-Id: a1\r\nRequest-Class: status\r\n"+
+		"Request-Timeout-Ms: 9000\r\nX-Route-To: dest=3\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nx")
+	time.Sleep(20 * time.Millisecond)
+	c.Close() // and goes elsewhere
+	require.NoError(t, w.process.Process.Signal(syscall.SIGCONT))
+	assert.Equal(t, 202, w.hand("a2", "x").StatusCode)
+	w.soon("called", w.called(1))
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, []got{{"/events", "a2", "ka2", "x"}}, w.seen())
+}
+
 func TestFullDiskRejectsAndIsNeverOverfilled(t *testing.T) {
 	w := begin(t, "token")
 	w.kill()
