--- a/cmd/rowanlink/main.go
+++ b/cmd/rowanlink/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -97,12 +96,14 @@
 		return fmt.Errorf("the clients' server ended: %w", err)
 	}
 	life.Leave(d.Empty, calls.Out)
-	err = server.Close(time.Second / 5)
+	if err := server.Close(time.Second / 5); err != nil {
+		slog.Warn("some connections of clients were still open", "why", err)
+	}
 	life.Enter(lifecycle.Ended)
 	<-decided
 	calls.End()
 	x.Counters.Log()
-	return errors.Join(err, kept.Close())
+	return kept.Close()
 }
 
 // configuration reads the file that tells a dispatcher all it is told, and says in one line what is wrong.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -481,6 +481,45 @@
 	assert.Empty(t, w.seen())
 }
 
+func TestListThatCantBeReadIsAskedForAgainAndResetDropsWhatIsMissing(t *testing.T) {
+	w := begin(t, "token")
+	w.kill()
+	watches := make(chan string, 9)
+	watch := func(since string, rw http.ResponseWriter) {
+		if watches <- since; len(watches) == 1 {
+			fmt.Fprint(rw, "{\"generation\":2,\n")
+		} else {
+			fmt.Fprint(rw, "{\"generation\":3,\"reset\":true,\"instances\":[]}\n")
+		}
+		rw.(http.Flusher).Flush()
+	}
+	w.set(func() { w.watch = watch })
+	w.start()
+	w.soon("watched again", func() bool { return len(watches) == 2 })
+	assert.Equal(t, []string{"1", "1"}, []string{<-watches, <-watches})
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, 202, w.hand("a1", "x").StatusCode)
+	time.Sleep(100 * time.Millisecond)
+	assert.Empty(t, w.seen())
+}
+
+func TestFullBufferHandsBackWhatIsWorthLeast(t *testing.T) {
+	w := begin(t, "token")
+	w.answers(func(_ int, rw http.ResponseWriter, _ string) { hang(rw) })
+	taken := 0
+	for i := range 60 {
+		switch code := w.hand(fmt.Sprint("a", i), "x").StatusCode; code {
+		case 202:
+			taken++
+		default:
+			assert.Equal(t, 503, code)
+		}
+	}
+	w.soon("the rest is handed back", func() bool { return taken-len(w.heard()) <= 50 })
+	assert.Greater(t, taken, 40)
+	assert.NotContains(t, fmt.Sprint(w.heard()), "given_up", "none of them may have run")
+}
+
 func TestBrokenConfigurationEndsTheStartWithOneLine(t *testing.T) {
 	w := &world{t: t, dir: t.TempDir()}
 	for _, text := range []string{"", "{", "[]", `{"seed":"1"}`,
