A second start beside a running dispatcher ends before it touches the folder

Lines at fault: the order in cmd/rowanlink/main.go. With the order turned round the story of it passes; without, the webhook is never seen again. Calls now also state the time that is left after connecting.

--- a/cmd/rowanlink/main.go
+++ b/cmd/rowanlink/main.go
@@ -64,11 +64,12 @@
 
 	life, x := &lifecycle.Life{}, exchange.New()
 	life.Enter(lifecycle.Starting)
-	kept, err := journal.Open(os.Getenv("LB_STATE"), limit("disk_mb", 3))
+	// First: guards the folder against a second start beside a dispatcher that runs, which ends here.
+	on, err := net.Listen("tcp", told.Get("listen").String())
 	if err != nil {
 		return err
 	}
-	on, err := net.Listen("tcp", told.Get("listen").String())
+	kept, err := journal.Open(os.Getenv("LB_STATE"), limit("disk_mb", 3))
 	if err != nil {
 		return err
 	}
--- a/node/endpoints/endpoints.go
+++ b/node/endpoints/endpoints.go
@@ -224,14 +224,15 @@
 
 // exchangeOn writes the call and reads its answer. Only what ends before the last byte is written never ran.
 func exchangeOn(l *link, k *call, at gateway.Micros) fate {
-	until := time.Now().Add(exchange.Span(k.patience - (exchange.Now() - at)))
+	left := k.patience - (exchange.Now() - at) // connecting took its part
+	until := time.Now().Add(exchange.Span(left))
 	if err := l.SetDeadline(until); err != nil {
 		return fate{what: gateway.ConnectFailed}
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	fill(req, k)
+	fill(req, k, left)
 	out := bufio.NewWriterSize(l, 4096)
 	if err := errors.Join(req.Write(out), out.Flush()); err != nil {
 		return fate{what: gateway.ConnectFailed}
@@ -250,12 +251,12 @@
 
 const mostAnswer = 1 << 20
 
-func fill(req *fasthttp.Request, k *call) {
+func fill(req *fasthttp.Request, k *call, left gateway.Micros) {
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetHost(k.ep.addr)
 	req.Header.SetUserAgent("rowanlink")
 	req.Header.SetContentType("application/octet-stream")
-	req.Header.Set("Request-Timeout-Ms", strconv.FormatInt(max(int64(k.patience/1000), 1), 10))
+	req.Header.Set("Request-Timeout-Ms", strconv.FormatInt(max(int64(left/1000), 1), 10))
 	if len(k.webhooks) == 1 {
 		w := k.webhooks[0]
 		req.SetRequestURI("/events")
--- a/node/journal/journal.go
+++ b/node/journal/journal.go
@@ -64,6 +64,9 @@
 
 // Open reads what an earlier life left in the folder, which is never filled beyond diskMB.
 func Open(dir string, diskMB float64) (*Journal, error) {
+	if dir == "" {
+		return nil, errors.New("journal: no folder is named")
+	}
 	j := &Journal{dir: dir, limit: int(diskMB * mega), entries: map[gateway.WebhookID]*Entry{}}
 	if err := os.Remove(j.path("new")); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, fmt.Errorf("journal: %w", err)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -503,6 +503,23 @@
 	assert.Empty(t, w.seen())
 }
 
+func TestSecondStartBesideARunningOneHarmsNothing(t *testing.T) {
+	w := begin(t, "token")
+	w.answers(func(n int, rw http.ResponseWriter, _ string) {
+		if n == 1 {
+			hang(rw)
+		}
+	})
+	second := exec.Command(binary)
+	second.Env = w.process.Env
+	assert.Error(t, second.Run())
+	assert.Equal(t, 202, w.hand("a1", "x").StatusCode)
+	w.soon("out", w.called(1))
+	w.kill()
+	w.start()
+	w.soon("still owed", w.called(2))
+}
+
 func TestFullBufferHandsBackWhatIsWorthLeast(t *testing.T) {
 	w := begin(t, "token")
 	w.answers(func(_ int, rw http.ResponseWriter, _ string) { hang(rw) })
