A single call is delivered by its answer's first line, whatever becomes of the rest

Found by reading the protocol against the code: an answer of 200 that broke off in its body came back as reset, and the webhook was sent once more. The story fails without the line in exchangeOn. Bundles still need the whole answer.

--- a/node/endpoints/endpoints.go
+++ b/node/endpoints/endpoints.go
@@ -237,7 +237,12 @@
 	if err := errors.Join(req.Write(out), out.Flush()); err != nil {
 		return fate{what: gateway.ConnectFailed}
 	}
+	first, _ := l.in.Peek(len(deliveredLine))
+	delivered := len(k.webhooks) == 1 && string(first) == deliveredLine
 	if err := resp.ReadLimitBody(l.in, mostAnswer); err != nil {
+		if delivered { // by its first line, whatever becomes of the rest: guards against a second copy
+			return fate{what: gateway.Delivered}
+		}
 		// By the clock: fasthttp's errors don't always tell a deadline from a broken connection.
 		if !time.Now().Before(until) {
 			return fate{what: gateway.TimedOut}
@@ -249,7 +254,10 @@
 	return f
 }
 
-const mostAnswer = 1 << 20
+const (
+	mostAnswer    = 1 << 20
+	deliveredLine = "HTTP/1.1 200"
+)
 
 func fill(req *fasthttp.Request, k *call, left gateway.Micros) {
 	req.Header.SetMethod(fasthttp.MethodPost)
--- a/node/endpoints/endpoints_test.go
+++ b/node/endpoints/endpoints_test.go
@@ -87,6 +87,24 @@
 	}
 }
 
+func TestFirstLineDeliversWhateverBecomesOfTheRest(t *testing.T) {
+	for text, want := range map[string]gateway.Outcome{
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf": gateway.Delivered,
+		"HTTP/1.1 200 OK\r\nnonsense":                      gateway.Delivered,
+		"HTTP/1.1 500 Oh\r\nContent-Length: 9\r\n\r\nhalf": gateway.Reset,
+		"HTTP/1.1 2":      gateway.Reset,
+		"garbage\r\n\r\n": gateway.Reset,
+	} {
+		_, send, ends := at(script(t, func(c net.Conn, in *bufio.Reader) {
+			http.ReadRequest(in)
+			c.Write([]byte(text))
+			c.Close()
+		}))
+		send(gateway.Second)
+		assert.Equal(t, want, (<-ends).what, text)
+	}
+}
+
 func TestWhatEndsBeforeTheLastByteNeverRan(t *testing.T) {
 	_, send, ends := at("127.0.0.1:1") // nobody listens
 	send(gateway.Second)
