--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	mkdir -p bin && go build -o bin/ ./cmd/... ./examples/toyserver
 
 test:
-	go test ./...
+	go test -count=1 ./...
 
 lint:
 	test -z "$$(gofmt -l .)"
