--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -27,15 +27,19 @@
 func FromJSON(seed uint64, settings gjson.Result) (gateway.Facts, Names, gateway.Micros, error) {
 	p := &pairs{values: map[string]string{}}
 	p.flatten("", settings)
-	names := Names{texts(settings, "classes.#.name"), texts(settings, "tenants.#.name"),
-		texts(settings, "kinds"), texts(settings, "zones")}
+	names := Names{texts(settings, "classes"), texts(settings, "tenants"), texts(settings, "kinds"),
+		texts(settings, "zones")}
 	idle := p.under("limits.keepalive")
 	f, err := read(seed, p)
 	return f, names, idle, err
 }
 
+// texts are the names in a list, in its order; one without a name keeps its place.
 func texts(settings gjson.Result, path string) (all []string) {
 	for _, v := range settings.Get(path).Array() {
+		if v.IsObject() {
+			v = v.Get("name")
+		}
 		all = append(all, v.String())
 	}
 	return all
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -24,5 +24,13 @@
 	assert.Equal(t, pairs, nested)
 	assert.Equal(t, []string{"a b", "c"}, names.Kinds)
 	assert.Equal(t, []string{"status"}, names.EventTypes)
+	assert.Nil(t, names.Tenants)
 	assert.Equal(t, 5*gateway.Second, idle)
 }
+
+func TestEventTypeWithoutANameKeepsItsPlace(t *testing.T) {
+	f, names, _, err := FromJSON(7, gjson.Parse(`{"classes":[{"repeat":"pure"},{"repeat":"token","name":"b"}]}`))
+	require.NoError(t, err)
+	assert.Equal(t, []string{"", "b"}, names.EventTypes)
+	assert.Equal(t, gateway.Tokened, f.EventTypes[1].Repeat)
+}
--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -45,7 +45,7 @@
 	s.server = fasthttp.Server{
 		Handler: s.handle, Name: "rowanlink", Concurrency: mostOpen, MaxRequestBodySize: mostBody,
 		ReadTimeout: 10 * time.Second, IdleTimeout: time.Minute, WriteTimeout: 10 * time.Second,
-		DisablePreParseMultipartForm: true, NoDefaultContentType: true, Logger: quiet{},
+		ReadBufferSize: 8 << 10, DisablePreParseMultipartForm: true, NoDefaultContentType: true, Logger: quiet{},
 		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
 			x.Malformed.Add(1)
 			code := fasthttp.StatusBadRequest
@@ -140,8 +140,9 @@
 	if !plain(id) {
 		return nil, "Request-Id is missing or not plain text"
 	}
-	evt := slices.Index(s.names.EventTypes, string(h.Peek("Request-Class")))
-	if evt < 0 || evt > math.MaxUint8 {
+	class := string(h.Peek("Request-Class"))
+	evt := slices.Index(s.names.EventTypes, class)
+	if class == "" || evt < 0 || evt > math.MaxUint8 {
 		return nil, "Request-Class names no event type"
 	}
 	if token != "" && !plain(token) || token == "" && s.types[evt].Repeat == gateway.Tokened {
