--- a/control/control_test.go
+++ b/control/control_test.go
@@ -365,7 +365,8 @@
 		s.all(always(gateway.Full))
 	}
 	assert.Less(t, s.kinds[0].trickle, trickle, "refusals of what it let go lower it")
-	assert.Less(t, loose(s.dests[1], s.dests[1].shared), s.kinds[0].trickle, "and most at the destination that refused")
+	full := s.dests[1]
+	assert.Less(t, loose(full, full.shared), s.kinds[0].trickle, "and most at the destination that refused")
 }
 
 func TestCanariesOfManyWaitForTheirPartAndPastAToldWait(t *testing.T) {
--- a/control/state.go
+++ b/control/state.go
@@ -116,7 +116,7 @@
 	coldSince gateway.Micros // first success after an outage, or never
 }
 
-// kind is a row of the one table in which kinds of destination differ, with what is learned over all of a kind.
+// kind is a row of the one table in which kinds of destination differ, with what is learned over all of it.
 type kind struct {
 	gateway.Kind
 	trickle float64        // calls a second that a route with a tiny part is let
--- /dev/null
+++ b/node/decider/decider_test.go
@@ -0,0 +1,56 @@
+package decider
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rowanlink/control"
+	"rowanlink/gateway"
+	"rowanlink/node/endpoints"
+	"rowanlink/node/exchange"
+	"rowanlink/node/journal"
+	"rowanlink/node/lifecycle"
+	"rowanlink/node/notices"
+)
+
+func TestWhatTheDiskRefusesIsRejectedAndNotSent(t *testing.T) {
+	dir := t.TempDir()
+	kept, err := journal.Open(dir, 1)
+	require.NoError(t, err)
+	x, life := exchange.New(), &lifecycle.Life{}
+	life.Enter(lifecycle.Serving)
+	d := New(x, life, kept, gateway.Facts{Slots: 4, Buffer: 9, MaxAttempts: 3, Tick: 1000, RatesStated: true,
+		EventTypes: []gateway.EventType{{Target: gateway.Second, TTL: 9 * gateway.Second}}})
+	d.Begin(endpoints.New(&x.Counters, d.Came, gateway.Second, gateway.Second, 4),
+		notices.New("127.0.0.1:1", &x.Counters, d.Heard),
+		func(f gateway.Facts, h gateway.Host) gateway.Module { return control.New(f, h) })
+	d.Listed([]gateway.Entry{{Endpoint: 1, Destination: 3, Rate: 500}}, []string{"127.0.0.1:1"}, true)
+	d.turn()
+	hand := func(id exchange.RequestID) exchange.Answer {
+		said := make(chan exchange.Answer, 1)
+		go func() {
+			now := exchange.Now()
+			w := exchange.Webhook{RequestID: id, Destination: 3, CameAt: now, TTL: now + 9*gateway.Second}
+			what, _ := x.HandIn(&w)
+			said <- what
+		}()
+		for len(said) == 0 {
+			d.turn()
+			time.Sleep(time.Millisecond)
+		}
+		return <-said
+	}
+	require.NoError(t, kept.Close()) // the next write fails
+	assert.Equal(t, exchange.Rejected, hand("a1"))
+	assert.Zero(t, x.Calls.Load(), "nothing goes out that would not survive")
+	assert.Empty(t, d.held)
+	assert.Equal(t, exchange.Taken, hand("a2"), "the next one is written anew")
+	assert.EqualValues(t, 1, x.Calls.Load())
+	next, err := journal.Open(dir, 1)
+	require.NoError(t, err)
+	require.Len(t, next.Entries(), 1)
+	assert.Equal(t, gateway.WebhookID(2), next.Entries()[0].ID)
+}
--- a/node/lifecycle/lifecycle.go
+++ b/node/lifecycle/lifecycle.go
@@ -51,7 +51,7 @@
 func (l *Life) Sends() bool { p := l.Phase(); return p >= Serving && p < Settling }
 
 // Leave goes from serving to settled: what comes is taken on until no more connections come, calls are
-// started for as long as their answers can still be in time, and those out are waited for. The rest stays kept.
+// started for as long as their answers can still be in time, and those out are waited for. The rest stays.
 func (l *Life) Leave(empty func() bool, callsOut func() int) {
 	told := time.Now()
 	until := func(span time.Duration, done func() bool) {
