--- a/node/node_test.go
+++ b/node/node_test.go
@@ -61,7 +61,8 @@
 }
 
 const settings = `{"classes":[{"aim":2500000000,"deadline":9000000000,"group":"all","name":"status",
- "repeat":"%s","window":8000000000,"worth":1,"lateValue":0.3},{"aim":1,"deadline":9000000000,"repeat":"pure"}],
+ "repeat":"%s","window":8000000000,"worth":1,"lateValue":0.3},
+ {"aim":1,"deadline":9000000000,"repeat":"pure"}],
  "kinds":["bulk"],"zones":["a"],"fleetSize":1,"period":5000000,
  "familyInfo":{"slots":6,"batchByKind":[4],"kindApart":[false]},"weightSource":"nominal",
  "limits":{"openCap":50,"maxAttempts":8,"connectTimeout":300000000,"keepalive":1000000000,"cancel":true,
@@ -401,7 +402,8 @@
 	w.answers(func(_ int, rw http.ResponseWriter, _ string) { hang(rw) })
 	for _, extra := range [][]string{{"Request-Id", ""}, {"Request-Id", "a b"},
 		{"Request-Id", strings.Repeat("x", 200)},
-		{"Request-Class", "other"}, {"Request-Class", ""}, {"Request-Timeout-Ms", "soon"}, {"Request-Timeout-Ms", "-5"},
+		{"Request-Class", "other"}, {"Request-Class", ""},
+		{"Request-Timeout-Ms", "soon"}, {"Request-Timeout-Ms", "-5"},
 		{"X-Route-To", "dest=70000"}, {"X-Route-To", "7"}, {"X-Route-To", ""}, {"Idempotency-Key", ""}} {
 		assert.Equal(t, 400, w.hand("a1", "x", extra...).StatusCode, extra)
 	}
