--- a/cmd/rowanlink/main.go
+++ b/cmd/rowanlink/main.go
@@ -41,6 +41,8 @@
 }
 
 func run() error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // from the first: uncaught, it would end the process
 	told, err := configuration(os.Getenv("LB_CONFIG"))
 	if err != nil {
 		return err
@@ -88,6 +90,7 @@
 	go finals.Run()
 	go list.Follow()
 	go func() { served <- server.Serve(on) }()
+	go reload(hangups, os.Getenv("LB_CONFIG"), list.Move, finals.Move)
 
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
@@ -107,6 +110,26 @@
 	return kept.Close()
 }
 
+// reload reads the configuration again on each SIGHUP and tells where discovery is now. All else in the file
+// holds from the next start on; a file that can't be read changes nothing.
+func reload(hangups <-chan os.Signal, path string, move ...func(addr string)) {
+	for range hangups {
+		told, err := configuration(path)
+		addr := told.Get("discovery").String()
+		if err == nil {
+			_, _, err = net.SplitHostPort(addr)
+		}
+		if err != nil {
+			slog.Error("configuration not read again, the old one stays", "why", err)
+			continue
+		}
+		slog.Info("configuration read again", "discovery", addr)
+		for _, m := range move {
+			m(addr)
+		}
+	}
+}
+
 // configuration reads the file that tells a dispatcher all it is told, and says in one line what is wrong.
 func configuration(path string) (gjson.Result, error) {
 	raw, err := os.ReadFile(path)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -483,6 +483,38 @@
 	assert.Empty(t, w.seen())
 }
 
+// Guards against SIGHUP ending the process, and against a watch and notices that stay with the old address.
+func TestSIGHUPMovesWatchAndNoticesAndABrokenFileChangesNothing(t *testing.T) {
+	w := begin(t, "side_effect")
+	w.answers(func(_ int, rw http.ResponseWriter, _ string) { rw.WriteHeader(500) })
+	hangUp := func() { require.NoError(t, w.process.Process.Signal(syscall.SIGHUP)) }
+	config := filepath.Join(w.dir, "config.json")
+	require.NoError(t, os.WriteFile(config, []byte("{"), 0o600))
+	hangUp()
+	w.hand("a1", "x")
+	w.soon("told where it was told before", w.told(1))
+	watches, finals := make(chan string, 9), make(chan string, 9)
+	w.platform = w.serve(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v2/finals" {
+			body, _ := io.ReadAll(r.Body)
+			finals <- string(body)
+			rw.WriteHeader(http.StatusNoContent)
+			return
+		}
+		watches <- r.URL.Query().Get("since")
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	w.configure("side_effect", 3)
+	hangUp()
+	assert.Equal(t, "1", <-watches, "it goes on from what it has")
+	w.hand("a2", "x")
+	assert.Contains(t, <-finals, "a2")
+	assert.Len(t, w.heard(), 1)
+	w.kill()
+	assert.Equal(t, 1, strings.Count(w.out.String(), "the old one stays"))
+}
+
 func TestListThatCantBeReadIsAskedForAgainAndResetDropsWhatIsMissing(t *testing.T) {
 	w := begin(t, "token")
 	w.kill()
--- a/node/notices/notices.go
+++ b/node/notices/notices.go
@@ -22,10 +22,9 @@
 // Notices holds what is not yet heard.
 type Notices struct {
 	counts *exchange.Counters
-	url    string
 	heard  func([]gateway.WebhookID)
-	client fasthttp.HostClient
 	mu     sync.Mutex
+	client *fasthttp.HostClient
 	ids    []gateway.WebhookID
 	lines  [][]byte
 	most   int // in the next call
@@ -34,10 +33,21 @@
 
 // New makes the sender; heard is told which notices were answered.
 func New(addr string, counts *exchange.Counters, heard func([]gateway.WebhookID)) *Notices {
-	// fasthttp's client may repeat a call by itself: here that does no harm.
-	return &Notices{counts: counts, url: "http://" + addr + "/v2/finals", heard: heard, most: mostOnce,
-		bell:   make(chan struct{}, 1),
-		client: fasthttp.HostClient{Addr: addr, MaxConns: 1, ReadTimeout: within, WriteTimeout: within}}
+	return &Notices{counts: counts, heard: heard, most: mostOnce, bell: make(chan struct{}, 1),
+		client: client(addr)}
+}
+
+// client makes one that may repeat a call by itself: here that does no harm.
+func client(addr string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{Addr: addr, MaxConns: 1, ReadTimeout: within, WriteTimeout: within}
+}
+
+// Move sends from now on to the platform at another address.
+func (n *Notices) Move(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.client.CloseIdleConnections()
+	n.client = client(addr)
 }
 
 // GivenUp is the notice of a dead-lettered webhook.
@@ -77,7 +87,7 @@
 func (n *Notices) once() bool {
 	n.mu.Lock()
 	count := min(len(n.ids), n.most)
-	ids, lines := n.ids[:count], n.lines[:count]
+	ids, lines, platform := n.ids[:count], n.lines[:count], n.client
 	n.mu.Unlock()
 	if count == 0 {
 		return false
@@ -87,11 +97,11 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetContentType("application/x-ndjson")
-	req.SetRequestURI(n.url)
+	req.SetRequestURI("http://" + platform.Addr + "/v2/finals")
 	for _, line := range lines {
 		req.AppendBody(line)
 	}
-	err := n.client.DoTimeout(req, resp, within)
+	err := platform.DoTimeout(req, resp, within)
 	unread := err == nil && resp.StatusCode() == fasthttp.StatusBadRequest
 	if unread && count == 1 { // it will never be read: guards those behind it
 		slog.Error("notice not understood", "line", string(lines[0]))
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -4,12 +4,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -32,18 +34,39 @@
 
 // Registry is one dispatcher's watch.
 type Registry struct {
-	addr       string
 	names      facts.Names
 	listed     Listed
 	broken     func()
 	generation int64
 	ids        map[string]gateway.EndpointID
+
+	mu    sync.Mutex
+	addr  string
+	moved chan struct{} // closed when the address is another one
 }
 
 // New makes a watch of the registry at an address; broken is called for each object that can't be read.
 func New(addr string, names facts.Names, listed Listed, broken func()) *Registry {
 	return &Registry{addr: addr, names: names, listed: listed, broken: broken,
-		ids: map[string]gateway.EndpointID{}}
+		ids: map[string]gateway.EndpointID{}, moved: make(chan struct{})}
+}
+
+// Move ends the watch, also one that still connects, and starts the next at another address at once.
+func (r *Registry) Move(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if addr != r.addr {
+		r.addr = addr
+		close(r.moved)
+		r.moved = make(chan struct{})
+	}
+}
+
+// place tells where the registry is, and what is closed when that is over.
+func (r *Registry) place() (addr string, moved <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.addr, r.moved
 }
 
 // Take reads one list object and tells what stands in it.
@@ -72,8 +95,8 @@
 			rate = 0
 		}
 		entries = append(entries, gateway.Entry{Endpoint: r.ids[id], Standing: standing, Rate: rate,
-			Destination: dest, Kind: gateway.KindID(place(r.names.Kinds, l.Get("machineType"))),
-			Zone: gateway.ZoneID(place(r.names.Zones, l.Get("zone")))})
+			Destination: dest, Kind: gateway.KindID(index(r.names.Kinds, l.Get("machineType"))),
+			Zone: gateway.ZoneID(index(r.names.Zones, l.Get("zone")))})
 		addrs = append(addrs, addr)
 	}
 	r.generation = generation.Int()
@@ -84,8 +107,8 @@
 var standings = map[string]gateway.Standing{"SERVING": gateway.Listed, "DRAINING": gateway.Draining,
 	"DELETED": gateway.Gone}
 
-// place is a name's index, or one past the last.
-func place(names []string, name gjson.Result) int {
+// index is a name's index, or one past the last.
+func index(names []string, name gjson.Result) int {
 	if i := slices.Index(names, name.String()); i >= 0 {
 		return i
 	}
@@ -96,21 +119,35 @@
 // longer than it may be.
 func (r *Registry) Follow() {
 	for {
-		err := r.watch()
+		addr, moved := r.place()
+		ctx, end := context.WithCancel(context.Background())
+		go func() {
+			select {
+			case <-moved:
+				end()
+			case <-ctx.Done():
+			}
+		}()
+		err := r.watch(ctx, addr)
 		slog.Debug("watch ended", "why", err)
-		time.Sleep(pause)
+		end()
+		select {
+		case <-moved:
+		case <-time.After(pause):
+		}
 	}
 }
 
-func (r *Registry) watch() error {
-	c, err := net.DialTimeout("tcp", r.addr, deadAfter)
+func (r *Registry) watch(ctx context.Context, addr string) error {
+	c, err := (&net.Dialer{Timeout: deadAfter}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
 	}
+	defer context.AfterFunc(ctx, func() { c.Close() })()
 	defer c.Close()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetHost(r.addr)
+	req.Header.SetHost(addr)
 	req.SetRequestURI("/registry/instances?follow=1&since=" + strconv.FormatInt(r.generation, 10))
 	in, out := bufio.NewReader(&alive{c}), bufio.NewWriter(c)
 	if err := req.Write(out); err != nil {
