A door that closes the silent and the idle first; doubtful framing is refused

Now node/clients/door.go holds the limit: silent and half heads end after 1 s, idle ones after 2 s, and when full the silent and the idle longest go first, never one whose webhook is decided on. Framing that can be read two ways, lengths that don't fit what came, doubled headers, absurd deadlines: 400 and close; destinations on no list: 503; one log line a second.

--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,10 +24,13 @@
 	"rowanlink/node/lifecycle"
 )
 
-// Sizes of the protocol.
+// The protocol's sizes, and how long a client may be silent: it waits for its answer so long itself, and an
+// idle connection may be closed after 2 s.
 const (
 	mostBody = 64 << 10
 	mostID   = 128
+	within   = 5 * time.Microsecond * time.Duration(exchange.AnswerWithin) / 2
+	idleFor  = 2 * time.Second
 )
 
 // Clients is the server that clients connect to.
@@ -36,28 +40,45 @@
 	names  facts.Names
 	types  []gateway.EventType
 	server fasthttp.Server
+	most   int          // connections
+	told   atomic.Int64 // second in which a webhook not understood was last logged
 }
 
 // New makes a server that holds at most mostOpen connections.
 func New(x *exchange.Exchange, life *lifecycle.Life, f gateway.Facts, names facts.Names,
 	mostOpen int) *Clients {
-	s := &Clients{x: x, life: life, names: names, types: f.EventTypes}
+	s := &Clients{x: x, life: life, names: names, types: f.EventTypes, most: mostOpen}
 	s.server = fasthttp.Server{
-		Handler: s.handle, Name: "rowanlink", Concurrency: mostOpen, MaxRequestBodySize: mostBody,
-		ReadTimeout: 10 * time.Second, IdleTimeout: time.Minute, WriteTimeout: 10 * time.Second,
+		Handler: s.handle, Name: "rowanlink", MaxRequestBodySize: mostBody,
+		Concurrency: 2 * mostOpen, // the door holds the limit; those that it closed are still winding up
+		ReadTimeout: within, IdleTimeout: idleFor, WriteTimeout: within, ReduceMemoryUsage: true,
 		ReadBufferSize: 8 << 10, DisablePreParseMultipartForm: true, NoDefaultContentType: true, Logger: quiet{},
+		SecureErrorLogMessage: true, // no part of a webhook in the log
 		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
-			x.Malformed.Add(1)
+			s.misunderstood(err.Error())
 			code := fasthttp.StatusBadRequest
 			if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 				code = fasthttp.StatusRequestEntityTooLarge
 			}
 			ctx.Error(err.Error(), code)
 		},
+		ConnState: func(c net.Conn, is fasthttp.ConnState) {
+			if is == fasthttp.StateIdle { // its answer is written
+				c.(*guest).answered()
+			}
+		},
 	}
 	return s
 }
 
+// misunderstood counts what can't be used, and logs one of a second: guards the log against a flood.
+func (s *Clients) misunderstood(why string) {
+	s.x.Malformed.Add(1)
+	if now := time.Now().Unix(); s.told.Swap(now) != now {
+		slog.Info("webhook not understood, others of this second are only counted", "why", why)
+	}
+}
+
 // quiet keeps fasthttp's own lines, of connections that clients ended, at debug level.
 type quiet struct{}
 
@@ -66,7 +87,7 @@
 }
 
 // Serve takes connections until Close.
-func (s *Clients) Serve(on net.Listener) error { return s.server.Serve(on) }
+func (s *Clients) Serve(on net.Listener) error { return s.server.Serve(newDoor(on, s.most)) }
 
 // Close stops listening and waits for what is being answered, until the time is up.
 func (s *Clients) Close(within time.Duration) error {
@@ -100,15 +121,27 @@
 
 // api takes one webhook in. It is answered when it was decided whether it is taken on.
 func (s *Clients) api(ctx *fasthttp.RequestCtx) {
-	w, why := s.webhook(ctx)
-	if why != "" {
-		s.x.Malformed.Add(1)
-		slog.Info("webhook not understood", "why", why)
+	g := ctx.Conn().(*guest)
+	w, why := s.webhook(ctx, g)
+	quiet, gone := socket.Look(g)
+	if why == "" && !quiet && !gone {
+		why = "more has come than the webhook's length"
+	}
+	if why != "" { // what else comes on this connection can't be trusted
+		s.misunderstood(why)
 		ctx.Error(why, fasthttp.StatusBadRequest)
+		ctx.SetConnectionClose()
+		return
+	}
+	// Guards against a destination that is none: it would wait out its TTL in the buffer. One that a list has
+	// not named yet may come: trying again is harmless.
+	if !s.x.Named(w.Destination) {
+		s.misunderstood("dest is on no list")
+		ctx.Error("dest is on no list", fasthttp.StatusServiceUnavailable)
 		return
 	}
 	// Guards against a webhook that its client has handed in elsewhere meanwhile: this process stood still.
-	if _, gone := socket.Look(ctx.Conn()); gone {
+	if gone || !g.asks() {
 		s.x.Rejected.Add(1)
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
@@ -119,7 +152,7 @@
 		s.x.Accepted.Add(1)
 		ctx.SetStatusCode(fasthttp.StatusAccepted)
 	case exchange.Doubled:
-		s.x.Malformed.Add(1)
+		s.misunderstood("Request-Id is held already")
 		ctx.Error("this Request-Id is held already", fasthttp.StatusConflict)
 	default:
 		s.x.Rejected.Add(1)
@@ -133,9 +166,19 @@
 }
 
 // webhook takes the few fields out that are decided on; body, id and token stay as they came.
-func (s *Clients) webhook(ctx *fasthttp.RequestCtx) (w *exchange.Webhook, why string) {
+func (s *Clients) webhook(ctx *fasthttp.RequestCtx, g *guest) (w *exchange.Webhook, why string) {
 	now := exchange.Now() // its time counts from before
 	h := &ctx.Request.Header
+	length, coding := times(h, "Content-Length"), times(h, "Transfer-Encoding")
+	switch {
+	case length+coding > 1 || coding == 1 && h.ContentLength() != -1:
+		return nil, "more than one thing tells where the body ends"
+	case coding == 0 && !g.fits(len(ctx.PostBody())):
+		return nil, "more has come than the webhook's length"
+	case max(times(h, "Request-Id"), times(h, "Request-Class"), times(h, "Request-Timeout-Ms"),
+		times(h, "X-Route-To"), times(h, "Idempotency-Key")) > 1:
+		return nil, "a header is doubled"
+	}
 	id, token := string(h.Peek("Request-Id")), string(h.Peek("Idempotency-Key"))
 	if !plain(id) {
 		return nil, "Request-Id is missing or not plain text"
@@ -149,8 +192,9 @@
 		return nil, "Idempotency-Key is missing or not plain text"
 	}
 	ms, err := strconv.ParseInt(string(h.Peek("Request-Timeout-Ms")), 10, 32)
-	if err != nil || ms <= 0 {
-		return nil, "Request-Timeout-Ms is not a number of milliseconds"
+	ttl, longest := gateway.Micros(ms)*1000, s.types[evt].TTL
+	if err != nil || ms <= 0 || ttl > 2*longest {
+		return nil, "Request-Timeout-Ms is no usable number of milliseconds"
 	}
 	dest, ok := destination(string(h.Peek("X-Route-To")))
 	if !ok {
@@ -158,7 +202,7 @@
 	}
 	w = &exchange.Webhook{RequestID: exchange.RequestID(id), Token: exchange.Token(token),
 		Body: bytes.Clone(ctx.PostBody()), Destination: dest,
-		Event: gateway.EventTypeID(evt), Tenant: math.MaxUint32, TTL: now + gateway.Micros(ms)*1000, CameAt: now}
+		Event: gateway.EventTypeID(evt), Tenant: math.MaxUint32, TTL: now + min(ttl, longest), CameAt: now}
 	if i := slices.Index(s.names.Tenants, string(h.Peek("Tenant"))); i >= 0 {
 		w.Tenant = gateway.TenantID(i)
 	}
@@ -170,6 +214,17 @@
 	return w, ""
 }
 
+// times counts how often a header stands in a head as it came: guards against one that is read two ways.
+func times(h *fasthttp.RequestHeader, name string) (n int) {
+	for line := range bytes.Lines(h.RawHeaders()) {
+		key, _, _ := bytes.Cut(line, []byte(":"))
+		if strings.EqualFold(string(bytes.TrimSpace(key)), name) {
+			n++
+		}
+	}
+	return n
+}
+
 // plain tells whether a text can stand in a header, a bundle's line and a notice as it is.
 func plain(text string) bool {
 	odd := func(r rune) bool { return r <= ' ' || r >= 0x7f || r == '"' || r == '\\' }
--- /dev/null
+++ b/node/clients/door.go
@@ -0,0 +1,154 @@
+package clients
+
+import (
+	"container/list"
+	"net"
+	"sync"
+
+	"rowanlink/gateway"
+	"rowanlink/node/exchange"
+)
+
+// door lets connections in, so many at once at most. When all places are taken, a guest that has nothing to
+// wait for goes: guards against silence, half heads and idle connections that keep usual clients out.
+type door struct {
+	net.Listener
+	most  int
+	mu    sync.Mutex
+	freed *sync.Cond
+	in    int
+	mute  list.List // guests whose first or begun request has not come as a whole, longest in wait first
+	idle  list.List // those that were answered, longest ago first
+}
+
+// guest is one client's connection. It counts the bytes of each request: guards against a length that says less
+// than what has come, so that a webhook would be cut and its rest read as another request.
+type guest struct {
+	*net.TCPConn
+	door  *door
+	since gateway.Micros
+	at    *list.List // mute or idle; nil while the webhook that it handed in is decided on
+	place *list.Element
+	gone  bool
+
+	seen, head int // bytes of this request so far; of its head, once that is whole
+	match      int // bytes of the head's end that came last
+}
+
+// mayBeMute is how long a new connection keeps its place whatever comes: a usual client's request is with it.
+const mayBeMute = exchange.AnswerWithin / 2
+
+func newDoor(on net.Listener, most int) *door {
+	d := &door{Listener: on, most: max(most, 1)}
+	d.freed = sync.NewCond(&d.mu)
+	return d
+}
+
+// Accept waits for a connection, then for a place. Each webhook handed in is answered within a turn or so, and
+// its place may then be had.
+func (d *door) Accept() (net.Conn, error) {
+	c, err := d.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for d.in >= d.most {
+		switch first := d.mute.Front(); {
+		case first != nil && (d.idle.Len() == 0 || exchange.Now()-first.Value.(*guest).since > mayBeMute):
+			first.Value.(*guest).leave()
+		case d.idle.Len() > 0:
+			d.idle.Front().Value.(*guest).leave()
+		default:
+			d.freed.Wait()
+		}
+	}
+	d.in++
+	g := &guest{TCPConn: c.(*net.TCPConn), door: d}
+	g.move(&d.mute)
+	return g, nil
+}
+
+// move puts a guest where it stands now; the caller holds the lock.
+func (g *guest) move(to *list.List) {
+	if g.at != nil {
+		g.at.Remove(g.place)
+	}
+	if g.at = to; to != nil && !g.gone {
+		g.since, g.place = exchange.Now(), to.PushBack(g)
+		g.door.freed.Signal()
+	}
+}
+
+func (g *guest) leave() {
+	if !g.gone {
+		g.move(nil)
+		g.gone = true
+		g.door.in--
+		g.door.freed.Signal()
+		g.TCPConn.Close()
+	}
+}
+
+// asks notes that its webhook is decided on from now on, and tells whether it is still here.
+func (g *guest) asks() bool {
+	g.door.mu.Lock()
+	defer g.door.mu.Unlock()
+	if !g.gone {
+		g.move(nil)
+	}
+	return !g.gone
+}
+
+// answered notes that it has its answer.
+func (g *guest) answered() {
+	g.door.mu.Lock()
+	defer g.door.mu.Unlock()
+	if g.seen, g.head, g.match = 0, 0, 0; !g.gone {
+		g.move(&g.door.idle)
+	}
+}
+
+// begins notes that one that was idle is no longer: it is not to be closed before its request is read.
+func (g *guest) begins() {
+	g.door.mu.Lock()
+	defer g.door.mu.Unlock()
+	if g.at == &g.door.idle {
+		g.move(&g.door.mute)
+	}
+}
+
+// Close ends it, once.
+func (g *guest) Close() error {
+	g.door.mu.Lock()
+	defer g.door.mu.Unlock()
+	g.leave()
+	return nil
+}
+
+// Read notes where the head of the request ends.
+func (g *guest) Read(p []byte) (int, error) {
+	const end = "\r\n\r\n"
+	n, err := g.TCPConn.Read(p)
+	if n > 0 && g.seen == 0 {
+		g.begins()
+	}
+	for i := 0; i < n && g.head == 0; i++ {
+		switch {
+		case p[i] == end[g.match]:
+			g.match++
+		case p[i] == end[0]:
+			g.match = 1
+		default:
+			g.match = 0
+		}
+		if g.match == len(end) {
+			g.head = g.seen + i + 1
+		}
+	}
+	g.seen += n
+	return n, err
+}
+
+// fits tells whether just one request with so many bytes of body has come.
+func (g *guest) fits(body int) bool { return g.head > 0 && g.seen == g.head+body }
--- a/node/decider/decider.go
+++ b/node/decider/decider.go
@@ -15,9 +15,6 @@
 	"rowanlink/node/notices"
 )
 
-// answerWithin is the protocol's: a client that waited longer for its answer has gone and may come again.
-const answerWithin = 2 * gateway.Second / 5
-
 // sweepTicks is how many ticks lie between two looks at idle connections.
 const sweepTicks = 20
 
@@ -141,7 +138,7 @@
 
 // inTime ends what its client no longer waits for, and what comes when nothing is taken on any more.
 func (d *Decider) inTime(w *exchange.Webhook) bool {
-	if !d.life.TakesOn() || d.now-w.CameAt > answerWithin {
+	if !d.life.TakesOn() || d.now-w.CameAt > exchange.AnswerWithin {
 		w.Answer(exchange.Rejected, 0)
 		return false
 	}
@@ -247,6 +244,9 @@
 // Listed takes a list; addrs are its entries' addresses.
 func (d *Decider) Listed(entries []gateway.Entry, addrs []string, whole bool) {
 	d.x.Lists.Add(1)
+	for _, l := range entries {
+		d.x.Name(l.Destination)
+	}
 	d.x.Tell(func() {
 		named := map[gateway.EndpointID]bool{}
 		for i, l := range entries {
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -21,6 +21,9 @@
 // Span is a time from the clock's point of view as the standard library has it.
 func Span(t gateway.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
 
+// AnswerWithin is the protocol's: a client that waited longer for its answer has gone and may come again.
+const AnswerWithin = 2 * gateway.Second / 5
+
 // RequestID is a webhook's name on the sockets, Token the mark by which a repeat is known; empty: none.
 type (
 	RequestID string
@@ -66,10 +69,27 @@
 	arrivals []*Webhook
 	news     []func()
 	bell     chan struct{}
+	named    map[gateway.DestinationID]bool
 }
 
 // New makes an exchange in which nothing waits.
-func New() *Exchange { return &Exchange{bell: make(chan struct{}, 1)} }
+func New() *Exchange {
+	return &Exchange{bell: make(chan struct{}, 1), named: map[gateway.DestinationID]bool{}}
+}
+
+// Name notes that a list has named a destination; that holds also when it has no endpoint any more.
+func (x *Exchange) Name(dest gateway.DestinationID) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.named[dest] = true
+}
+
+// Named tells whether any list has named a destination.
+func (x *Exchange) Named(dest gateway.DestinationID) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.named[dest]
+}
 
 // HandIn puts a webhook in for the next turn and waits for its answer; one rejected may be told a time to
 // come back (0: none).
