Spoilt answers may have run and free their slot; gone endpoints are forgotten

Seen by reading and by stories: an answer that lies about its length held its slot for the whole patience (endpoints.go exchangeOn), 'HTTP/1.1 2000' counted as delivered by its prefix, a bundle's answer was believed line by line, a spoilt 429/503/410 as never run, with its wait; what came between the look at an idle link and the write was read as the next answer; names, endpoints and waits were kept for ever. Now the head is looked at first: a whole first line 200 delivers a single call, the rest must follow within a sixteenth of the idle limit, a bundle holds as a whole, the link is looked at once more before the call's last byte. Ruled out: several 1xx, which fasthttp reads; its duplicate length check, which holds.

--- a/cmd/rowanlink/main.go
+++ b/cmd/rowanlink/main.go
@@ -78,7 +78,11 @@
 	d := decider.New(x, life, kept, known)
 	calls := endpoints.New(&x.Counters, d.Came, known.ConnectTimeout, idleLimit, conns)
 	finals := notices.New(told.Get("discovery").String(), &x.Counters, d.Heard)
-	list := registry.New(told.Get("discovery").String(), names, d.Listed, func() { x.ListsBroken.Add(1) })
+	longest := gateway.Micros(0)
+	for _, t := range known.EventTypes {
+		longest = max(longest, t.TTL)
+	}
+	list := registry.New(told.Get("discovery").String(), names, 2*longest, d.Listed, func() { x.ListsBroken.Add(1) })
 	if err := list.Take(told.Get("known")); err != nil {
 		slog.Warn("no known list", "why", err)
 	}
--- a/node/decider/decider.go
+++ b/node/decider/decider.go
@@ -33,7 +33,6 @@
 	nextID gateway.WebhookID
 	held   map[gateway.WebhookID]*exchange.Webhook
 	ids    map[exchange.RequestID]bool // of those held
-	zones  map[gateway.EndpointID]gateway.ZoneID
 	dues   due.Times[func()]
 	stages []func(*exchange.Webhook) bool
 
@@ -57,7 +56,7 @@
 	f.Buffer, f.Tick = max(f.Buffer, 1), max(f.Tick, 1)
 	d := &Decider{x: x, life: life, journal: j, facts: f, now: exchange.Now(), nextID: 1,
 		held: map[gateway.WebhookID]*exchange.Webhook{}, ids: map[exchange.RequestID]bool{},
-		zones: map[gateway.EndpointID]gateway.ZoneID{}, fresh: map[gateway.WebhookID]*exchange.Webhook{}}
+		fresh: map[gateway.WebhookID]*exchange.Webhook{}}
 	d.stages = []func(*exchange.Webhook) bool{d.inTime, d.room, d.once, d.take}
 	return d
 }
@@ -181,7 +180,7 @@
 // act writes down what was decided, then answers, calls and tells.
 func (d *Decider) act() {
 	for _, a := range d.attempts {
-		d.journal.Call(a.w.ID, d.now, d.zones[a.ep])
+		d.journal.Call(a.w.ID, d.now, d.calls.Zone(a.ep))
 	}
 	if err := d.journal.Commit(); err != nil {
 		d.unwritten(err)
@@ -255,7 +254,7 @@
 				kind = d.facts.Kinds[l.Kind]
 			}
 			d.calls.Place(l, addrs[i], kind)
-			d.zones[l.Endpoint], named[l.Endpoint] = l.Zone, true
+			named[l.Endpoint] = true
 		}
 		if whole {
 			d.calls.Drop(named)
--- a/node/endpoints/conn.go
+++ b/node/endpoints/conn.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
+	"maps"
 	"net"
+	"regexp"
 	"time"
 
 	"rowanlink/gateway"
@@ -25,9 +28,10 @@
 	return &link{Conn: c, in: bufio.NewReaderSize(c, 4096)}, nil
 }
 
-// alive looks, without waiting, whether the other side has said or ended anything while the link was idle.
-// Guards against a call written to a connection that is gone, which would end as a reset that may have run.
-func (l *link) alive() bool {
+// quiet looks, without waiting, whether the other side has said or ended nothing that was not read.
+// Guards against a call written to a connection that is gone, which would end as a reset that may have run,
+// and against what follows an answer being read as the next one.
+func (l *link) quiet() bool {
 	if l.in.Buffered() > 0 {
 		return false
 	}
@@ -35,6 +39,59 @@
 	return quiet
 }
 
+// write writes a call, if it can be made on this link. Nothing can be an answer to it that comes before its last
+// byte is written, so that the link is looked at once more before that. Not written, it never ran.
+func (l *link) write(call []byte, until time.Time) bool {
+	last := len(call) - 1
+	if last < 0 || l.SetDeadline(until) != nil {
+		return false
+	}
+	if _, err := l.Write(call[:last]); err != nil || !l.quiet() {
+		return false
+	}
+	_, err := l.Write(call[last:])
+	return err == nil
+}
+
+// head looks at an answer's head, interim ones before it left out: the whole of it, or all that came where it
+// can't be had. Its first byte may come until the end, the rest soon after that.
+func (l *link) head(until time.Time, rest gateway.Micros) ([]byte, error) {
+	for {
+		if _, err := l.in.Peek(1); err != nil {
+			return nil, err
+		}
+		if soon := time.Now().Add(exchange.Span(rest)); soon.Before(until) {
+			if err := l.SetReadDeadline(soon); err != nil {
+				return nil, err
+			}
+		}
+		var head []byte
+		var err error
+		for n := 1; ; n = len(head) + 1 {
+			_, err = l.in.Peek(n)
+			head, _ = l.in.Peek(l.in.Buffered())
+			if end := bytes.Index(head, []byte("\r\n\r\n")); end >= 0 {
+				head, err = head[:end+4], nil
+				break
+			}
+			if err != nil {
+				break
+			}
+		}
+		if err != nil || !interim.Match(head) {
+			return head, err
+		}
+		if _, err := l.in.Discard(len(head)); err != nil {
+			return nil, err
+		}
+		if err := l.SetReadDeadline(until); err != nil {
+			return nil, err
+		}
+	}
+}
+
+var interim = regexp.MustCompile(`^HTTP/1\.1 1(0[02-9]|[1-9]\d)[ \r]`)
+
 // keep returns a link whose call is over to the idle ones of its endpoint.
 func (s *Endpoints) keep(e *endpoint, l *link) {
 	s.mu.Lock()
@@ -59,7 +116,7 @@
 	defer s.mu.Unlock()
 	for n := len(e.idle); n > 0; n = len(e.idle) {
 		l, e.idle = e.idle[n-1], e.idle[:n-1]
-		if exchange.Now()-l.idleAt < s.idleFor && l.alive() {
+		if exchange.Now()-l.idleAt < s.idleFor && l.quiet() {
 			return l, true
 		}
 		s.close(l)
@@ -86,7 +143,8 @@
 	return true
 }
 
-// Sweep closes what has been idle for long, before the other side does, and what that has ended.
+// Sweep closes what has been idle for long, before the other side does, and what that has ended. It forgets
+// endpoints that are gone once nothing is out there.
 func (s *Endpoints) Sweep() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,14 +152,17 @@
 	for _, e := range s.all {
 		kept := e.idle[:0]
 		for _, l := range e.idle {
-			if now-l.idleAt < s.idleFor && l.alive() {
+			if now-l.idleAt < s.idleFor && l.quiet() {
 				kept = append(kept, l)
 			} else {
 				s.close(l)
 			}
 		}
-		e.idle = kept
+		if e.idle = kept; e.gone && e.out == 0 && now >= s.waits[e.route] {
+			delete(s.all, e.id)
+		}
 	}
+	maps.DeleteFunc(s.waits, func(_ route, until gateway.Micros) bool { return now >= until })
 }
 
 // CloseIdle closes all idle links to an endpoint.
--- a/node/endpoints/endpoints.go
+++ b/node/endpoints/endpoints.go
@@ -3,10 +3,10 @@
 package endpoints
 
 import (
-	"bufio"
 	"bytes"
-	"errors"
+	"log/slog"
 	"math"
+	"regexp"
 	"strconv"
 	"sync"
 	"time"
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rowanlink/gateway"
+	"rowanlink/internal/socket"
 	"rowanlink/node/exchange"
 )
 
@@ -27,6 +28,7 @@
 	came           Came
 	connectTimeout gateway.Micros
 	idleFor        gateway.Micros // an idle link is closed after so long
+	restWithin     gateway.Micros // an answer that has begun is whole after so long
 	mostOpen       int
 
 	mu    sync.Mutex
@@ -48,8 +50,11 @@
 	id     gateway.EndpointID
 	addr   string
 	route  route
+	zone   gateway.ZoneID
 	bundle int // webhooks in one call at most
 	listed bool
+	gone   bool
+	out    int     // calls
 	idle   []*link // used last: last
 }
 
@@ -69,8 +74,12 @@
 	if connectTimeout <= 0 { // none is stated: patience alone ends a connect
 		connectTimeout = math.MaxInt64
 	}
+	rest := idleLimit / 16
+	if rest <= 0 { // no limit is stated
+		rest = gateway.Second / 4
+	}
 	return &Endpoints{counts: counts, came: came, connectTimeout: connectTimeout, idleFor: idleLimit * 4 / 5,
-		mostOpen: max(mostOpen, 1), all: map[gateway.EndpointID]*endpoint{}, waits: map[route]gateway.Micros{},
+		restWithin: rest, mostOpen: max(mostOpen, 1), all: map[gateway.EndpointID]*endpoint{}, waits: map[route]gateway.Micros{},
 		out: map[gateway.WebhookID]*call{}}
 }
 
@@ -86,6 +95,10 @@
 		}
 		s.all[l.Endpoint] = e
 	}
+	e.zone = l.Zone
+	if e.gone = l.Standing == gateway.Gone; e.gone {
+		s.closeIdle(e)
+	}
 	if e.listed = l.Standing == gateway.Listed; addr != "" && addr != e.addr {
 		s.closeIdle(e) // they lead elsewhere
 		e.addr = addr
@@ -97,8 +110,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.all {
-		e.listed = e.listed && but[id]
+		if !but[id] {
+			e.listed, e.gone = false, true
+			s.closeIdle(e)
+		}
+	}
+}
+
+// Zone tells where an endpoint is.
+func (s *Endpoints) Zone(id gateway.EndpointID) (zone gateway.ZoneID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.all[id]; e != nil {
+		zone = e.zone
 	}
+	return zone
 }
 
 // Send makes the calls for webhooks that one turn sends to one endpoint: as few as its bundles allow.
@@ -106,7 +132,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.all[id]
-	for len(webhooks) > 0 && e != nil {
+	if e == nil { // gone and forgotten: guards against a webhook that waits for an outcome for ever
+		for _, w := range webhooks {
+			s.came(w, id, gateway.NotSent, 0, false, 0)
+		}
+		return
+	}
+	for len(webhooks) > 0 {
 		n := min(e.bundle, len(webhooks))
 		// The least patience holds for all: none may go on after its webhook was told to have timed out.
 		k := &call{ep: e, webhooks: webhooks[:n], patience: math.MaxInt64}
@@ -115,6 +147,7 @@
 			k.patience = min(k.patience, patience[i])
 		}
 		webhooks, patience = webhooks[n:], patience[n:]
+		e.out++
 		s.counts.Calls.Add(1)
 		if n > 1 {
 			s.counts.Bundled.Add(int64(n))
@@ -157,8 +190,8 @@
 	what gateway.Outcome
 	over bool
 	wait gateway.Micros
-	each map[exchange.RequestID]string // by id, where the webhooks of a bundle fared differently
-	keep bool                          // the connection may be used again
+	each map[exchange.RequestID]share // by id, where the webhooks of a bundle fared differently
+	keep bool                         // the connection may be used again
 }
 
 // run makes one call from connect to answer.
@@ -177,6 +210,7 @@
 	for _, w := range k.webhooks {
 		delete(s.out, w.ID)
 	}
+	k.ep.out--
 	if k.called && f.what != gateway.Delivered && f.what != gateway.ConnectFailed {
 		f.what = gateway.Cancelled
 	}
@@ -185,79 +219,123 @@
 	for _, w := range k.webhooks {
 		what, over := f.what, f.over
 		if f.each != nil {
-			what, over = bundleEnd(f.each[w.RequestID])
+			what, over = f.each[w.RequestID].what, f.each[w.RequestID].over
 		}
 		s.counts.Outcomes[what].Add(1)
 		s.came(w, k.ep.id, what, took, over, f.wait)
 	}
 }
 
+// connectAndCall calls on an idle link, or else on a new one. A link that says or ends something before the
+// last byte of the call is written is no longer of use, and the call has not been made: another link is taken.
 func (s *Endpoints) connectAndCall(k *call, at gateway.Micros) (fate, *link) {
-	l, room := s.take(k.ep)
-	if !room {
-		return fate{what: gateway.NotSent}, nil
-	}
-	if l == nil {
-		var err error
-		s.counts.Connections.Add(1)
-		if l, err = dial(k.ep.addr, exchange.Span(min(s.connectTimeout, k.patience))); err != nil {
-			s.mu.Lock()
-			s.open--
-			s.mu.Unlock()
-			return fate{what: gateway.ConnectFailed}, nil
+	for {
+		l, room := s.take(k.ep)
+		if !room {
+			return fate{what: gateway.NotSent}, nil
 		}
+		used := l != nil
+		if !used {
+			var err error
+			s.counts.Connections.Add(1)
+			within := max(min(s.connectTimeout, k.patience-(exchange.Now()-at)), 1)
+			if l, err = dial(k.ep.addr, exchange.Span(within)); err != nil {
+				s.mu.Lock()
+				s.open--
+				s.mu.Unlock()
+				return fate{what: gateway.ConnectFailed}, nil
+			}
+		}
+		// Guards the rules on drains and waits: what was told while this call connected holds for its first byte.
+		s.mu.Lock()
+		late := !k.ep.listed || exchange.Now() < s.waits[k.ep.route] || s.ended
+		k.link = l
+		called := k.called
+		s.mu.Unlock()
+		if late {
+			return fate{what: gateway.NotSent, keep: true}, l
+		}
+		if called {
+			return fate{what: gateway.ConnectFailed}, l
+		}
+		left := k.patience - (exchange.Now() - at) // connecting took its part
+		until := time.Now().Add(exchange.Span(left))
+		switch written := l.write(request(k, left), until); {
+		case written:
+			return s.answer(l, k, until), l
+		case !used || !time.Now().Before(until):
+			return fate{what: gateway.ConnectFailed}, l
+		}
+		s.mu.Lock()
+		k.link = nil
+		s.close(l)
+		s.mu.Unlock()
 	}
-	// Guards the rules on drains and waits: what was told while this call connected holds for its first byte.
-	s.mu.Lock()
-	late := !k.ep.listed || exchange.Now() < s.waits[k.ep.route] || s.ended
-	k.link = l
-	called := k.called
-	s.mu.Unlock()
-	if late {
-		return fate{what: gateway.NotSent, keep: true}, l
-	}
-	if called {
-		return fate{what: gateway.ConnectFailed}, l
-	}
-	return exchangeOn(l, k, at), l
 }
 
-// exchangeOn writes the call and reads its answer. Only what ends before the last byte is written never ran.
-func exchangeOn(l *link, k *call, at gateway.Micros) fate {
-	left := k.patience - (exchange.Now() - at) // connecting took its part
-	until := time.Now().Add(exchange.Span(left))
-	if err := l.SetDeadline(until); err != nil {
-		return fate{what: gateway.ConnectFailed}
-	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	fill(req, k, left)
-	out := bufio.NewWriterSize(l, 4096)
-	if err := errors.Join(req.Write(out), out.Flush()); err != nil {
-		return fate{what: gateway.ConnectFailed}
-	}
-	first, _ := l.in.Peek(len(deliveredLine))
-	delivered := len(k.webhooks) == 1 && string(first) == deliveredLine
-	if err := resp.ReadLimitBody(l.in, mostAnswer); err != nil {
-		if delivered { // by its first line, whatever becomes of the rest: guards against a second copy
-			return fate{what: gateway.Delivered}
-		}
-		// By the clock: fasthttp's errors don't always tell a deadline from a broken connection.
-		if !time.Now().Before(until) {
+// answer reads what comes back. Where something came, the call has reached the endpoint: what can't be read
+// then may have run, however it begins, and frees its slot soon, whatever it claims still to come.
+func (s *Endpoints) answer(l *link, k *call, until time.Time) fate {
+	head, err := l.head(until, s.restWithin)
+	if len(head) == 0 {
+		if !time.Now().Before(until) { // by the clock: not each error tells a deadline from a broken connection
 			return fate{what: gateway.TimedOut}
 		}
 		return fate{what: gateway.Reset}
 	}
-	f := read(resp, len(k.webhooks) > 1)
-	f.keep = !resp.ConnectionClose() && l.in.Buffered() == 0
+	spoilt := fate{what: gateway.Errored}
+	bundle := len(k.webhooks) > 1
+	if !bundle && deliveredLine.Match(head) { // whatever becomes of the rest: guards against a second copy
+		spoilt.what = gateway.Delivered
+	}
+	if err != nil || !framed(head) {
+		return spoilt
+	}
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := resp.ReadLimitBody(l.in, mostAnswer); err != nil {
+		return spoilt
+	}
+	f, ok := read(resp, k.webhooks)
+	if !ok {
+		return spoilt
+	}
+	quiet, ended := socket.Look(l.Conn)
+	more := l.in.Buffered() > 0 || !quiet && !ended
+	if f.keep = !resp.ConnectionClose() && quiet && !more; more && f.each == nil && f.what != gateway.Delivered {
+		f.what, f.over = gateway.Errored, false // its length may be wrong: who knows what it was
+	}
 	return f
 }
 
-const (
-	mostAnswer    = 1 << 20
-	deliveredLine = "HTTP/1.1 200"
-)
+const mostAnswer = 256 << 10
+
+var deliveredLine = regexp.MustCompile(`^HTTP/1\.[01] 200( [^\r\n]*)?\r\n`)
+
+// framed tells whether a head says no more than once how long its body is.
+func framed(head []byte) bool {
+	n := 0
+	for line := range bytes.Lines(head) {
+		key, _, _ := bytes.Cut(line, []byte(":"))
+		if key = bytes.TrimSpace(key); bytes.EqualFold(key, []byte("Content-Length")) ||
+			bytes.EqualFold(key, []byte("Transfer-Encoding")) {
+			n++
+		}
+	}
+	return n <= 1
+}
+
+// request is a call as it goes out.
+func request(k *call, left gateway.Micros) []byte {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	fill(req, k, left)
+	var out bytes.Buffer
+	if _, err := req.WriteTo(&out); err != nil {
+		slog.Error("call not written", "err", err) // never: what was handed in is plain
+	}
+	return out.Bytes()
+}
 
 func fill(req *fasthttp.Request, k *call, left gateway.Micros) {
 	req.Header.SetMethod(fasthttp.MethodPost)
@@ -289,19 +367,15 @@
 	req.SetBodyRaw(body.Bytes())
 }
 
-// read puts an answer into our words. What is not in the protocol's table may have run.
-func read(resp *fasthttp.Response, bundle bool) fate {
-	f := fate{what: gateway.Errored, wait: seconds(string(resp.Header.Peek("Retry-After")))}
+// read puts an answer into our words; ok: it can be read. What is not in the protocol's table may have run.
+func read(resp *fasthttp.Response, webhooks []*exchange.Webhook) (f fate, ok bool) {
+	f = fate{what: gateway.Errored, wait: seconds(string(resp.Header.Peek("Retry-After")))}
+	bundle := len(webhooks) > 1
 	switch resp.StatusCode() {
 	case 200:
-		f.what = gateway.Delivered
-		if bundle {
-			f.each = map[exchange.RequestID]string{}
-			for line := range bytes.Lines(resp.Body()) {
-				if fields := bytes.Fields(line); len(fields) == 2 {
-					f.each[exchange.RequestID(fields[0])] = string(fields[1])
-				}
-			}
+		if f.what = gateway.Delivered; bundle {
+			f.each, ok = ends(resp.Body(), webhooks)
+			return f, ok
 		}
 	case 429:
 		f.what = gateway.Full
@@ -319,22 +393,44 @@
 			f.what = gateway.NotSent
 		}
 	}
-	return f
+	return f, true
 }
 
-// bundleEnd is one webhook's end in a bundle; one that the answer leaves out may have run.
-func bundleEnd(word string) (what gateway.Outcome, over bool) {
-	switch word {
-	case "delivered":
-		return gateway.Delivered, false
-	case "refused":
-		return gateway.Full, false
-	case "over":
-		return gateway.NotSent, true
-	case "spent":
-		return gateway.NotSent, false
-	}
-	return gateway.Errored, false
+// share is how one webhook of a bundle fared.
+type share struct {
+	what gateway.Outcome
+	over bool
+}
+
+var endWords = map[string]share{"delivered": {gateway.Delivered, false}, "failed": {gateway.Errored, false},
+	"refused": {gateway.Full, false}, "over": {gateway.NotSent, true}, "spent": {gateway.NotSent, false}}
+
+// ends reads a bundle's answer; ok: it names each of its webhooks once, with a known end, and nothing else.
+func ends(body []byte, webhooks []*exchange.Webhook) (each map[exchange.RequestID]share, ok bool) {
+	each = map[exchange.RequestID]share{}
+	for line := range bytes.Lines(body) {
+		fields := bytes.Fields(line)
+		if len(fields) == 0 && len(each) == len(webhooks) {
+			continue
+		}
+		if len(fields) != 2 || line[len(line)-1] != '\n' {
+			return nil, false
+		}
+		id, word := exchange.RequestID(fields[0]), string(fields[1])
+		if _, known := endWords[word]; !known {
+			return nil, false
+		}
+		if _, twice := each[id]; twice {
+			return nil, false
+		}
+		each[id] = endWords[word]
+	}
+	for _, w := range webhooks {
+		if _, named := each[w.RequestID]; !named {
+			return nil, false
+		}
+	}
+	return each, len(each) == len(webhooks)
 }
 
 // seconds reads a wait, whole or decimal, and rounds it up.
--- a/node/endpoints/endpoints_test.go
+++ b/node/endpoints/endpoints_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -87,24 +90,114 @@
 	}
 }
 
-func TestFirstLineDeliversWhateverBecomesOfTheRest(t *testing.T) {
+// says answers each call with some bytes and leaves the connection open.
+func says(text string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, in *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, r.Body)
+			c.Write([]byte(text))
+		}
+	}
+}
+
+// Guards against a spoilt answer that is trusted, holds its slot for the whole patience, or leaves a wait.
+func TestSpoiltAnswerMayHaveRunAndFreesItsSlotSoon(t *testing.T) {
+	const whole = "HTTP/1.1 503 Shut\r\nContent-Length: 0\r\n\r\n"
 	for text, want := range map[string]gateway.Outcome{
-		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf": gateway.Delivered,
-		"HTTP/1.1 200 OK\r\nnonsense":                      gateway.Delivered,
-		"HTTP/1.1 500 Oh\r\nContent-Length: 9\r\n\r\nhalf": gateway.Reset,
-		"HTTP/1.1 2":      gateway.Reset,
-		"garbage\r\n\r\n": gateway.Reset,
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf":                     gateway.Delivered,
+		"HTTP/1.1 200 OK\r\nnonsense":                                          gateway.Delivered,
+		"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxx":             gateway.Delivered,
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx":  gateway.Delivered,
+		"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\n" + whole: gateway.Full,
+		"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\n":         gateway.TimedOut,
+		whole + whole: gateway.Errored,
+		"HTTP/1.1 429 Slow\r\nRetry-After: 9\r\nContent-Length: 9\r\n\r\nhalf":      gateway.Errored,
+		"HTTP/1.1 429 Slow\r\nRetry-After: 9\r\n nonsense":                          gateway.Errored,
+		"HTTP/1.1 503 x\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n": gateway.Errored,
+		"HTTP/1.1 410 Over\r\nContent-Length: -1\r\n\r\n":                           gateway.Errored,
+		"HTTP/1.1 500 Oh\r\nContent-Length: 9\r\n\r\nhalf":                          gateway.Errored,
+		"HTTP/1.1 503 Shut\r\nX-Long: " + strings.Repeat("x", 9000):                 gateway.Errored,
+		"HTTP/1.1 200":        gateway.Errored,
+		"HTTP/1.1 2000 x\r\n": gateway.Errored,
+		"HTTP/1.1 2":          gateway.Errored,
+		"garbage\r\n\r\n":     gateway.Errored,
 	} {
-		_, send, ends := at(script(t, func(c net.Conn, in *bufio.Reader) {
-			http.ReadRequest(in)
-			c.Write([]byte(text))
-			c.Close()
-		}))
-		send(gateway.Second)
-		assert.Equal(t, want, (<-ends).what, text)
+		s, send, ends := at(script(t, says(text)))
+		began := time.Now()
+		send(gateway.Second / 2)
+		got := <-ends
+		assert.Equal(t, end{want, false, 0}, got, text)
+		if want != gateway.TimedOut {
+			assert.Less(t, time.Since(began), time.Second/5, text)
+		}
+		if want == gateway.Errored || want == gateway.Delivered {
+			assert.Zero(t, s.open, text)
+		}
+	}
+}
+
+// Guards against a bundle's spoilt answer that is believed in part: it may have run as a whole.
+func TestBundleAnswerHoldsOnlyAsAWhole(t *testing.T) {
+	for body, want := range map[string]map[gateway.Outcome]int{
+		"a delivered\r\nb refused\r\n":              {gateway.Delivered: 1, gateway.Full: 1},
+		"a delivered\r\nb refuse":                   {gateway.Errored: 2},
+		"a delivered\r\n":                           {gateway.Errored: 2},
+		"a delivered\r\nb odd\r\n":                  {gateway.Errored: 2},
+		"a delivered\r\na refused\r\nb refused\r\n": {gateway.Errored: 2},
+		"a delivered\r\nb refused\r\nc refused\r\n": {gateway.Errored: 2},
+	} {
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		s, _, ends := at(script(t, says(text)))
+		s.Place(gateway.Entry{Endpoint: 2, Destination: 3}, s.all[1].addr, gateway.Kind{Batch: 2})
+		s.Send(2, []*exchange.Webhook{{ID: 1, RequestID: "a"}, {ID: 2, RequestID: "b"}},
+			[]gateway.Micros{gateway.Second, gateway.Second})
+		got := map[gateway.Outcome]int{}
+		for range 2 {
+			got[(<-ends).what]++
+		}
+		assert.Equal(t, want, got, body)
 	}
 }
 
+// Guards against what follows an answer being read as the next call's, also where it comes late.
+func TestWhatFollowsAnAnswerIsNeverTheNextOnes(t *testing.T) {
+	late := func(c net.Conn, in *bufio.Reader) {
+		http.ReadRequest(in)
+		c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		in.Peek(1) // the next call has begun
+		c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		io.Copy(io.Discard, in)
+	}
+	s, send, ends := at(script(t, late, answer("503 Shut")))
+	send(gateway.Second)
+	assert.Equal(t, gateway.Delivered, (<-ends).what)
+	l, _ := s.take(s.all[1])
+	_, err := l.Conn.Write([]byte("P"))
+	require.NoError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	assert.False(t, l.write([]byte("call"), time.Now().Add(time.Second)), "something came before its last byte")
+	s.close(l)
+	send(gateway.Second)
+	assert.Equal(t, gateway.Full, (<-ends).what)
+}
+
+// Guards against everyone who ever was piling up, and against a webhook sent to one that is forgotten.
+func TestGoneEndpointIsForgottenOnceNothingIsOut(t *testing.T) {
+	s, send, ends := at(script(t, answer("200 OK")))
+	send(gateway.Second)
+	<-ends
+	s.Place(gateway.Entry{Endpoint: 1, Destination: 3, Standing: gateway.Gone}, "", gateway.Kind{})
+	assert.Zero(t, s.open, "its idle links are closed at once")
+	s.Sweep()
+	assert.Empty(t, s.all)
+	send(gateway.Second)
+	assert.Equal(t, gateway.NotSent, (<-ends).what)
+}
+
 func TestWhatEndsBeforeTheLastByteNeverRan(t *testing.T) {
 	_, send, ends := at("127.0.0.1:1") // nobody listens
 	send(gateway.Second)
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -19,6 +19,7 @@
 
 	"rowanlink/gateway"
 	"rowanlink/internal/facts"
+	"rowanlink/node/exchange"
 )
 
 // The protocol sends an empty line every 2 s as long as nothing changes.
@@ -38,17 +39,26 @@
 	listed     Listed
 	broken     func()
 	generation int64
-	ids        map[string]gateway.EndpointID
+	ids        map[string]*named
+	last       gateway.EndpointID
+	keepFor    time.Duration // the name of an endpoint that is gone is kept so long
 
 	mu    sync.Mutex
 	addr  string
 	moved chan struct{} // closed when the address is another one
 }
 
-// New makes a watch of the registry at an address; broken is called for each object that can't be read.
-func New(addr string, names facts.Names, listed Listed, broken func()) *Registry {
+// named is an endpoint's number, never used for another one, and since when it is gone.
+type named struct {
+	id   gateway.EndpointID
+	gone time.Time
+}
+
+// New makes a watch of the registry at an address; broken is called for each object that can't be read. A
+// gone endpoint's name is kept for as long as anything of it may still be out or waited for.
+func New(addr string, names facts.Names, keepFor gateway.Micros, listed Listed, broken func()) *Registry {
 	return &Registry{addr: addr, names: names, listed: listed, broken: broken,
-		ids: map[string]gateway.EndpointID{}, moved: make(chan struct{})}
+		keepFor: exchange.Span(keepFor), ids: map[string]*named{}, moved: make(chan struct{})}
 }
 
 // Move ends the watch, also one that still connects, and starts the next at another address at once.
@@ -77,6 +87,7 @@
 	}
 	var entries []gateway.Entry
 	var addrs []string
+	here := map[string]bool{}
 	for _, l := range list.Array() {
 		id, addr, cell := l.Get("instanceId").String(), l.Get("hostPort").String(), l.Get("cell")
 		standing, known := standings[l.Get("lifecycle").String()]
@@ -87,23 +98,45 @@
 			slog.Warn("list entry left out", "entry", l.Raw)
 			continue
 		}
-		if _, ok := r.ids[id]; !ok {
-			r.ids[id] = gateway.EndpointID(len(r.ids) + 1)
+		n := r.ids[id]
+		if n == nil {
+			r.last++
+			n = &named{id: r.last}
+			r.ids[id] = n
+		}
+		if here[id] = standing != gateway.Gone; here[id] {
+			n.gone = time.Time{}
 		}
 		rate := l.Get("weight").Float()
 		if !(rate > 0) {
 			rate = 0
 		}
-		entries = append(entries, gateway.Entry{Endpoint: r.ids[id], Standing: standing, Rate: rate,
+		entries = append(entries, gateway.Entry{Endpoint: n.id, Standing: standing, Rate: rate,
 			Destination: dest, Kind: gateway.KindID(index(r.names.Kinds, l.Get("machineType"))),
 			Zone: gateway.ZoneID(index(r.names.Zones, l.Get("zone")))})
 		addrs = append(addrs, addr)
 	}
 	r.generation = generation.Int()
 	r.listed(entries, addrs, object.Get("reset").Bool())
+	r.forget(here, object.Get("reset").Bool())
 	return nil
 }
 
+// forget notes which endpoints are gone and drops the names of those long gone: with endpoints replaced all day
+// long they would pile up.
+func (r *Registry) forget(here map[string]bool, whole bool) {
+	now := time.Now()
+	for id, n := range r.ids {
+		is, told := here[id]
+		if gone := told && !is || whole && !told; gone && n.gone.IsZero() {
+			n.gone = now
+		}
+		if !n.gone.IsZero() && now.Sub(n.gone) > r.keepFor {
+			delete(r.ids, id)
+		}
+	}
+}
+
 var standings = map[string]gateway.Standing{"SERVING": gateway.Listed, "DRAINING": gateway.Draining,
 	"DELETED": gateway.Gone}
 
