The module forgets order keys at rest and endpoints long off the list

Seen by reading: c.endpoints and c.turns kept everyone who ever was (control.go Endpoints, forget). Now the periodic wake drops them: keys with an empty line once rested, endpoints ten warming times after they left the list with nothing out.

--- a/control/control.go
+++ b/control/control.go
@@ -14,6 +14,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 
@@ -110,7 +111,7 @@
 		d, e := c.destination(l.Destination), c.endpoints[l.Endpoint]
 		d.kind = c.kinds[min(int(l.Kind), len(c.kinds)-1)]
 		if e == nil {
-			e = &endpoint{id: l.Endpoint, zone: l.Zone, dest: d, route: d.shared, limit: math.Inf(1)}
+			e = &endpoint{id: l.Endpoint, zone: l.Zone, dest: d, route: d.shared, limit: math.Inf(1), listedAt: c.now}
 			if d.kind.Apart {
 				e.route = c.newRoute()
 			}
@@ -313,20 +314,15 @@
 		if r.out > 0 || c.sickOut >= max(int(sickShare*float64(c.Slots)), 1) {
 			return false
 		}
-		if c.now < r.tryAt {
-			return c.wakeFor(r, r.tryAt)
-		}
-		return true
+		return c.now >= r.tryAt || c.wakeFor(r, r.tryAt)
 	}
 	if r.out >= c.bound(r) || c.silent(r) {
 		return false
 	}
 	rate, depth := c.rate(e.dest, r)
 	r.tokens, r.tokensAt = min(r.tokens+rate*(c.now-r.tokensAt).Seconds(), depth), c.now
-	if r.tokens < 1 {
-		return c.wakeFor(r, c.now+gateway.Micros(math.Ceil((1-r.tokens)/rate*float64(gateway.Second))))
-	}
-	return true
+	lack := math.Ceil((1 - r.tokens) / rate * float64(gateway.Second))
+	return lack <= 0 || c.wakeFor(r, c.now+gateway.Micros(lack))
 }
 
 // wakeFor sees to a turn at the time when a route that is not open may be.
@@ -553,9 +549,6 @@
 	delete(c.held, w.id)
 	if t := c.turns[w.key]; t != nil && w.evt.Ordered {
 		t.line = slices.DeleteFunc(t.line, func(o *webhook) bool { return o == w })
-		if len(t.line) == 0 && c.now >= t.restUntil {
-			delete(c.turns, w.key)
-		}
 	}
 }
 
@@ -676,10 +669,17 @@
 	for _, d := range c.order {
 		c.rank(d)
 		for _, e := range d.endpoints {
+			e.listedAt = c.now
 			e.limit *= 1 + paceStep
 			c.hangUp(e)
 		}
 	}
+	// Guards against keeping all who ever were: order keys at rest, and endpoints that left the list long ago.
+	long := c.now - crowdedFor*c.WarmAfter
+	maps.DeleteFunc(c.turns, func(_ gateway.Key, t *turn) bool { return len(t.line) == 0 && c.now >= t.restUntil })
+	maps.DeleteFunc(c.endpoints, func(_ gateway.EndpointID, e *endpoint) bool {
+		return e.out == 0 && e.listedAt < long
+	})
 }
 
 // rank renews the order in which a destination's endpoints are filled: quick and near ones first.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -428,3 +428,22 @@
 		assert.Len(t, s.h.dead, c.dead, c)
 	}
 }
+
+// Guards against memory that grows with everyone who ever was: endpoints are replaced all day, keys are new.
+func TestThoseLongGoneAreForgotten(t *testing.T) {
+	s := begin(plainFacts(), 0)
+	for i := range gateway.WebhookID(20) {
+		s.Take(i, 3, 0, gateway.Key(i+1), s.h.now+20*sec, 0)
+		s.run(sec / 2)
+		s.came(i, gateway.Delivered, 0)
+		ep := gateway.EndpointID(100 + i)
+		s.Endpoints([]gateway.Entry{{Endpoint: ep, Rate: 1000}, {Endpoint: ep - 1, Standing: gateway.Gone}}, false)
+	}
+	assert.Greater(t, len(s.endpoints), 20, "what may come back is known")
+	s.run(101 * sec)
+	assert.Len(t, s.endpoints, 3)
+	assert.Empty(t, s.turns)
+	s.take(99, 0, 0)
+	s.TurnOver()
+	assert.Equal(t, 1, s.sentOf(99))
+}
--- a/control/state.go
+++ b/control/state.go
@@ -77,19 +77,20 @@
 
 // endpoint is one address of a destination.
 type endpoint struct {
-	id     gateway.EndpointID
-	zone   gateway.ZoneID
-	dest   *destination
-	route  *route
-	listed bool
-	out    int            // calls out
-	linked bool           // it may have idle connections
-	limit  float64        // calls out at most, by the cap on connections met
-	mean   float64        // answer time in µs, smoothed
-	okAt   gateway.Micros // last delivery
-	fails  int            // failures in a row
-	tryAt  gateway.Micros // sick: not before then
-	open   *call          // call of this turn that still has room
+	id       gateway.EndpointID
+	zone     gateway.ZoneID
+	dest     *destination
+	route    *route
+	listed   bool
+	listedAt gateway.Micros // last seen on the list
+	out      int            // calls out
+	linked   bool           // it may have idle connections
+	limit    float64        // calls out at most, by the cap on connections met
+	mean     float64        // answer time in µs, smoothed
+	okAt     gateway.Micros // last delivery
+	fails    int            // failures in a row
+	tryAt    gateway.Micros // sick: not before then
+	open     *call          // call of this turn that still has room
 }
 
 // route is what limits, waits and outages belong to: a destination, or one endpoint where routes are apart.
