A connection that breaks beside deliveries is no lasting cap and no failing destination

Ruled out: the view of calls out, slots, silent routes. Now the limit grows by an eighth a delivery, and a reset within the tipping time of a delivery doesn't count as failing.

--- a/control/control.go
+++ b/control/control.go
@@ -570,6 +570,7 @@
 			e.dest.kind.trickle = min(e.dest.kind.trickle*(1+paceStep), 1/c.events[0].Target.Seconds())
 		}
 		e.fails, e.okAt, r.okAt, r.refused = 0, c.now, c.now, 0
+		e.limit += smooth // a failed connect may have been a stray one
 		r.failing, r.lost = (1-smooth)*r.failing, (1-smooth)*r.lost
 		c.lost -= smooth / 4 * c.lost
 		r.window = min(r.window+1, fullShare*float64(c.Slots))
@@ -602,7 +603,7 @@
 	default:
 		if what == gateway.ConnectFailed {
 			e.dest.kind.crowded = c.now + crowdedFor*c.WarmAfter
-			// A cap on connections is no outage: calls succeed beside it. It grows again, as it may be one's start.
+			// A cap on connections is no outage: calls succeed beside it. It grows with them, as it may be one's start.
 			if c.now-e.okAt < 2*c.ConnectTimeout {
 				e.limit = float64(max(e.out-1, 1))
 				return
@@ -615,7 +616,8 @@
 				c.lost += smooth / 4 * (1 - c.lost)
 			}
 		}
-		if e.fails++; e.fails <= sickRow { // what an endpoint left out fails says nothing more of the route
+		// What an endpoint left out fails says nothing more of the route, nor does a connection that breaks beside others.
+		if e.fails++; e.fails <= sickRow && (what != gateway.Reset || c.now-e.okAt > c.TipAfter) {
 			r.failing += smooth * (1 - r.failing)
 		}
 		if e.fails >= sickRow {
@@ -670,15 +672,13 @@
 		c.rank(d)
 		for _, e := range d.endpoints {
 			e.listedAt = c.now
-			e.limit *= 1 + paceStep
 			c.hangUp(e)
 		}
 	}
 	// Guards against keeping all who ever were: order keys at rest, and endpoints that left the list long ago.
-	long := c.now - crowdedFor*c.WarmAfter
 	maps.DeleteFunc(c.turns, func(_ gateway.Key, t *turn) bool { return len(t.line) == 0 && c.now >= t.restUntil })
 	maps.DeleteFunc(c.endpoints, func(_ gateway.EndpointID, e *endpoint) bool {
-		return e.out == 0 && e.listedAt < long
+		return e.out == 0 && c.now-e.listedAt > crowdedFor*c.WarmAfter
 	})
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -447,3 +447,32 @@
 	s.TurnOver()
 	assert.Equal(t, 1, s.sentOf(99))
 }
+
+// Guards against a stray broken connection that is taken for a cap on connections, or for a failing destination.
+func TestConnectionsThatBreakBesideDeliveriesChangeLittle(t *testing.T) {
+	s := begin(plainFacts(), 0)
+	id := gateway.WebhookID(0)
+	call := func(what gateway.Outcome) {
+		id++
+		s.take(id, 0, 0)
+		s.TurnOver()
+		s.run(sec / 10)
+		s.came(id, what, 0)
+	}
+	for range 9 {
+		call(gateway.Delivered)
+	}
+	call(gateway.ConnectFailed)
+	e := s.held[id].dest.endpoints[0]
+	assert.Less(t, e.limit, 2.0)
+	for range 16 {
+		call(gateway.Delivered)
+	}
+	assert.GreaterOrEqual(t, e.limit, 3.0)
+	for range 9 {
+		call(gateway.Reset)
+		call(gateway.Reset)
+		call(gateway.Delivered)
+	}
+	assert.EqualValues(t, never, e.route.coldSince)
+}
