An idle link's old deadline no longer passes for its end; probes of stale links

Seen in a story: a link idle past its last call's deadline was looked at as ended (internal/socket Look reads under the deadline), since the answers' rest is bounded (312 ms) nearly every link. keep clears it now (node/endpoints/conn.go). Probe: of calls on links idle for 100 to 700 ms 33% are reset, two thirds of them at once; under 50 ms and on new links 10 to 12%, not at once: endpoints there end idle links unseen.

--- a/node/endpoints/conn.go
+++ b/node/endpoints/conn.go
@@ -96,7 +96,8 @@
 func (s *Endpoints) keep(e *endpoint, l *link) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended {
+	// Guards against a look at an idle link that fails at its last call's deadline, as if it had ended.
+	if err := l.SetDeadline(time.Time{}); err != nil || s.ended {
 		s.close(l)
 		return
 	}
--- a/node/endpoints/endpoints_test.go
+++ b/node/endpoints/endpoints_test.go
@@ -232,6 +232,9 @@
 		send(gateway.Second)
 		<-ends
 	}
+	time.Sleep(200 * time.Millisecond) // past the deadline of the last answer's rest
+	send(gateway.Second)
+	<-ends
 	assert.EqualValues(t, 1, s.counts.Connections.Load())
 	time.Sleep(850 * time.Millisecond) // the other side would close after 1 s
 	s.Sweep()
