A connection that breaks alone beside deliveries counts as no failure of its endpoint

Ruled out: the connection cap, mended before. A reset counts when others broke within an answer time, as in an outage, or nothing was delivered there within the tipping time.

--- a/control/control.go
+++ b/control/control.go
@@ -311,10 +311,8 @@
 	}
 	if r.sick {
 		// One canary at a time; all sick routes together hold a bounded part of the slots.
-		if r.out > 0 || c.sickOut >= max(int(sickShare*float64(c.Slots)), 1) {
-			return false
-		}
-		return c.now >= r.tryAt || c.wakeFor(r, r.tryAt)
+		free := r.out == 0 && c.sickOut < max(int(sickShare*float64(c.Slots)), 1)
+		return free && (c.now >= r.tryAt || c.wakeFor(r, r.tryAt))
 	}
 	if r.out >= c.bound(r) || c.silent(r) {
 		return false
@@ -609,6 +607,10 @@
 				return
 			}
 		}
+		alone := c.now-e.brokeAt > gateway.Micros(r.mean)
+		if e.brokeAt = c.now; what == gateway.Reset && alone && c.now-e.okAt < c.TipAfter {
+			return // a connection that breaks alone beside deliveries: in an outage many do
+		}
 		if what == gateway.TimedOut || what == gateway.Cancelled {
 			r.window = max(r.window/2, 1)
 			r.lost += smooth * (1 - r.lost)
@@ -720,8 +722,6 @@
 
 // blend smooths a measured time; the first one stands for itself.
 func blend(mean float64, took gateway.Micros) float64 {
-	if mean == 0 {
-		return float64(took)
-	}
+	mean = cmp.Or(mean, float64(took))
 	return mean + smooth*(float64(took)-mean)
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -470,9 +470,12 @@
 	}
 	assert.GreaterOrEqual(t, e.limit, 3.0)
 	for range 9 {
-		call(gateway.Reset)
-		call(gateway.Reset)
+		for range 3 {
+			call(gateway.Reset)
+			s.run(sec / 5)
+		}
 		call(gateway.Delivered)
 	}
 	assert.EqualValues(t, never, e.route.coldSince)
+	assert.Empty(t, s.h.logs, "none was taken for an outage")
 }
--- a/control/state.go
+++ b/control/state.go
@@ -89,6 +89,7 @@
 	mean     float64        // answer time in µs, smoothed
 	okAt     gateway.Micros // last delivery
 	fails    int            // failures in a row
+	brokeAt  gateway.Micros // last failure
 	tryAt    gateway.Micros // sick: not before then
 	open     *call          // call of this turn that still has room
 }
