--- a/control/control.go
+++ b/control/control.go
@@ -68,8 +68,7 @@
 		f.StartCapacity, f.FallMultiple = 0.1, 1
 	}
 	c := &Control{Facts: f, host: host, chance: mwc.New(f.Seed), now: host.Now(), armed: math.MaxInt64,
-		held:      map[gateway.WebhookID]*webhook{},
-		dests:     map[gateway.DestinationID]*destination{},
+		held: map[gateway.WebhookID]*webhook{}, dests: map[gateway.DestinationID]*destination{},
 		endpoints: map[gateway.EndpointID]*endpoint{}, turns: map[gateway.Key]*turn{}}
 	// The last row serves webhooks of an event type that the facts don't name: they are never repeated.
 	unnamed := gateway.EventType{TTL: f.WarmAfter, Target: f.TipAfter, Repeat: gateway.AtMostOnce}
@@ -609,7 +608,8 @@
 		}
 		alone := c.now-e.brokeAt > gateway.Micros(r.mean)
 		if e.brokeAt = c.now; what == gateway.Reset && alone && c.now-e.okAt < c.TipAfter {
-			return // a connection that breaks alone beside deliveries: in an outage many do
+			c.host.CloseIdle(e.id) // one that breaks alone beside deliveries: others there may have ended unseen
+			return
 		}
 		if what == gateway.TimedOut || what == gateway.Cancelled {
 			r.window = max(r.window/2, 1)
@@ -689,7 +689,7 @@
 	score := func(e *endpoint) float64 {
 		s := e.mean
 		if e.zone != c.Zone { // not first because unmeasured: each call there holds its slot for longer
-			s = cmp.Or(s, c.mean) * farBy
+			return cmp.Or(s, c.mean) * farBy
 		}
 		return s
 	}
