A connection turned away on its first call is a failed connect, not a full destination

The protocol's 503 also stands for too many connections (endpoints.go read). Such an answer on a link's first call now counts as a failed connect, for which the module has its connection cap.

--- a/node/endpoints/endpoints.go
+++ b/node/endpoints/endpoints.go
@@ -192,6 +192,10 @@
 	wait gateway.Micros
 	each map[exchange.RequestID]share // by id, where the webhooks of a bundle fared differently
 	keep bool                         // the connection may be used again
+
+	// Turned away without a wait, and the connection with it: on its first call that is said of the connection,
+	// one too many, and not of the destination's limit.
+	tooMany bool
 }
 
 // run makes one call from connect to answer.
@@ -262,7 +266,11 @@
 		until := time.Now().Add(exchange.Span(left))
 		switch written := l.write(request(k, left), until); {
 		case written:
-			return s.answer(l, k, until), l
+			f := s.answer(l, k, until)
+			if f.tooMany && !used {
+				f.what = gateway.ConnectFailed
+			}
+			return f, l
 		case !used || !time.Now().Before(until):
 			return fate{what: gateway.ConnectFailed}, l
 		}
@@ -383,6 +391,8 @@
 		f.what = gateway.Full
 		if len(resp.Header.Peek("X-Egress-Full")) > 0 {
 			f.what = gateway.NotSent
+		} else {
+			f.tooMany = resp.ConnectionClose() && f.wait == 0
 		}
 	case 504:
 		f.what = gateway.NotSent
--- a/node/endpoints/endpoints_test.go
+++ b/node/endpoints/endpoints_test.go
@@ -198,6 +198,31 @@
 	assert.Equal(t, gateway.NotSent, (<-ends).what)
 }
 
+// Guards against a connection too many that is taken for the destination's limit: window and pace would fall.
+func TestConnectionTurnedAwayIsAFailedConnect(t *testing.T) {
+	shut := "503 Shut\r\nConnection: close"
+	for text, want := range map[string]end{shut: {gateway.ConnectFailed, false, 0},
+		shut + "\r\nRetry-After: 1":          {gateway.Full, false, gateway.Second},
+		shut + "\r\nX-Egress-Full: 1":        {gateway.NotSent, false, 0},
+		"429 Slow\r\nConnection: close":      {gateway.Full, false, 0},
+		"503 Shut\r\nConnection: keep-alive": {gateway.Full, false, 0}} {
+		_, send, ends := at(script(t, answer(text)))
+		send(gateway.Second)
+		assert.Equal(t, want, <-ends, text)
+	}
+	later := func(c net.Conn, in *bufio.Reader) {
+		for _, text := range []string{"200 OK", shut} {
+			http.ReadRequest(in)
+			c.Write([]byte("HTTP/1.1 " + text + "\r\nContent-Length: 0\r\n\r\n"))
+		}
+	}
+	_, send, ends := at(script(t, later))
+	send(gateway.Second)
+	<-ends
+	send(gateway.Second)
+	assert.Equal(t, gateway.Full, (<-ends).what, "a connection that served is not one too many")
+}
+
 func TestWhatEndsBeforeTheLastByteNeverRan(t *testing.T) {
 	_, send, ends := at("127.0.0.1:1") // nobody listens
 	send(gateway.Second)
