--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,7 +18,7 @@
 type (
 	WebhookID     uint32
 	EndpointID    uint32
-	DestinationID uint16
+	DestinationID uint32
 	Key           uint64 // webhooks of an ordered event type that share one go in turn; 0 is none
 	TenantID      uint32 // index in Facts.Tenants
 	ZoneID        uint16
--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -236,7 +236,7 @@
 func destination(text string) (gateway.DestinationID, bool) {
 	for _, part := range strings.FieldsFunc(text, func(r rune) bool { return strings.ContainsRune(";,& ", r) }) {
 		if number, ok := strings.CutPrefix(part, "dest="); ok {
-			n, err := strconv.ParseUint(number, 10, 16)
+			n, err := strconv.ParseUint(number, 10, 32)
 			return gateway.DestinationID(n), err == nil
 		}
 	}
