An emulator of the fleet, with observers for rules and claims, and rowanlab run

The project wants a model of its own, at sizes that sockets do not reach, repeatable by anyone with the repository.

emulator/ plays a scenario in simulated microseconds round unchanged modules through gateway.Module and gateway.Host; emulator/observe holds one observer for each rule and each outside claim, and a recorder; lab/ reads scenarios (TOML), plays them with the module or one of three baselines; rowanlab run and check. docs/emulator.md weighs the options.

--- /dev/null
+++ b/emulator/clients.go
@@ -0,0 +1,181 @@
+package emulator
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"rowanlink/emulator/seen"
+	"rowanlink/gateway"
+)
+
+// answerWithin is how long a client waits for word that its webhook is taken on.
+const answerWithin = 2 * gateway.Second / 5
+
+// origin is a webhook as its client knows it; each time it is handed in it gets a new id.
+type origin struct {
+	cameAt  gateway.Micros
+	ttl     gateway.Micros
+	key     gateway.Key
+	dest    gateway.DestinationID
+	tenant  gateway.TenantID
+	tries   int32 // rejections so far
+	live    int32 // copies held, or about to be handed in
+	evt     gateway.EventTypeID
+	offered bool
+}
+
+// gap draws the time to the next arrival.
+func (m *Model) gap() gateway.Micros {
+	c := &m.plan.Clients
+	rate, t := c.Rate, m.now.Seconds()
+	switch c.Curve {
+	case "wave":
+		rate *= 1 + c.Swing*math.Sin(2*math.Pi*t/gateway.Micros(c.Period).Seconds())
+	case "ramp":
+		rate *= 1 - c.Swing + 2*c.Swing*t/m.plan.Length.us().Seconds()
+	case "bursty":
+		for m.now >= m.swayUntil {
+			m.sway = 1 + c.Swing*(2*m.arrivals.Float64()-1)
+			m.swayUntil += max(gateway.Micros(float64(c.Period)*m.arrivals.Float64()/5), 1)
+		}
+		rate *= m.sway
+	}
+	for _, by := range m.bursts {
+		rate *= by
+	}
+	rate /= 1 + c.Clumps*float64(c.Clump-1)
+	return max(gateway.Micros(m.arrivals.ExpFloat64()/max(rate, 1e-9)*float64(gateway.Second)), 1)
+}
+
+// arrive has one client come, or a clump, and draws when the next one does.
+func (m *Model) arrive() {
+	if m.now >= m.plan.Length.us() {
+		return
+	}
+	c, n := &m.plan.Clients, 1
+	if c.Clumps > 0 && m.arrivals.Float64() < c.Clumps {
+		n = c.Clump
+	}
+	dest := m.drawDestination(m.arrivals)
+	for i := range n {
+		in := gateway.Micros(0)
+		if i > 0 {
+			in = gateway.Micros(m.arrivals.Float64() * float64(c.Within))
+		}
+		evt := draw(m.arrivals, m.events)
+		e := &m.plan.Events[evt]
+		o := origin{cameAt: m.now + in, ttl: m.now + in + e.TTL.us(), dest: dest, live: 1,
+			evt: gateway.EventTypeID(evt), tenant: gateway.TenantID(draw(m.arrivals, m.tenants))}
+		if e.Keys > 0 {
+			o.key = gateway.Key(1 + m.arrivals.IntN(e.Keys))
+		}
+		m.origins = append(m.origins, o)
+		m.open++
+		m.after(in, event{kind: evHandIn, a: int32(len(m.origins) - 1)})
+	}
+	m.after(m.gap(), event{kind: evArrive})
+}
+
+// draw follows cumulative shares; of none it draws 0.
+func draw(chance *rand.Rand, shares []float64) int {
+	if len(shares) < 2 {
+		return 0
+	}
+	x := chance.Float64() * shares[len(shares)-1]
+	return min(slices.IndexFunc(shares, func(s float64) bool { return x < s }), len(shares)-1)
+}
+
+// deal picks a dispatcher as the front does: by weight, or by key, of those that it takes for well.
+func (m *Model) deal(o *origin) *dispatcher {
+	n := len(m.dispatchers)
+	well := func(d *dispatcher) bool { return d.up && !d.leaving || !d.up && m.now < d.unseenUntil }
+	if o.key != 0 {
+		for i := range n {
+			if d := &m.dispatchers[(int(o.key)+i)%n]; well(d) {
+				return d
+			}
+		}
+		return nil
+	}
+	most := 1 + m.plan.Dispatchers.FrontSkew
+	for range 64 * n {
+		d := &m.dispatchers[m.habits.IntN(n)]
+		if m.habits.Float64()*most < d.weight && well(d) {
+			return d
+		}
+	}
+	return nil
+}
+
+// handIn brings a webhook to a dispatcher.
+func (m *Model) handIn(n int32) {
+	o := &m.origins[n]
+	if !o.offered {
+		o.offered = true
+		m.Bus.Emit(seen.Event{At: m.now, What: seen.Offered, Origin: seen.Origin(n), Type: o.evt, Destination: o.dest,
+			TTL: o.ttl})
+	}
+	if m.now >= o.ttl {
+		m.giveUp(n)
+		return
+	}
+	d := m.deal(o)
+	switch {
+	case d == nil || !d.up || d.leaving: // nobody listens there
+		m.after(max(within(m.habits, m.plan.Clients.Again).us(), 1000), event{kind: evHandIn, a: n})
+	case d.frozenUntil > m.now+answerWithin:
+		m.after(answerWithin, event{kind: evHandIn, a: n})
+	case d.open >= m.plan.Dispatchers.Buffer:
+		m.Bus.Emit(seen.Event{At: m.now, What: seen.TurnedAway, Dispatcher: d.number, Origin: seen.Origin(n),
+			Destination: o.dest, Type: o.evt})
+		m.comeAgain(n, 0)
+	default:
+		m.lastID++
+		d.held[m.lastID] = &held{id: m.lastID, origin: n, mayRun: never, call: -1}
+		d.open++
+		d.put(news{kind: newsTake, id: m.lastID})
+	}
+}
+
+// comeAgain has the client of a rejected webhook hand it in again, if it ever does.
+func (m *Model) comeAgain(n int32, advised gateway.Micros) {
+	o, c := &m.origins[n], &m.plan.Clients
+	o.tries++
+	pause := float64(within(m.habits, c.Again).us()) * math.Exp2(float64(min(o.tries-1, 20)))
+	if m.habits.Float64() < c.Heed {
+		pause = max(pause, float64(advised))
+	}
+	if int(o.tries) > c.Retries || pause >= float64(o.ttl-m.now) {
+		m.giveUp(n)
+		return
+	}
+	m.after(max(gateway.Micros(pause), 1), event{kind: evHandIn, a: n})
+}
+
+func (m *Model) giveUp(n int32) {
+	o := &m.origins[n]
+	m.Bus.Emit(seen.Event{At: m.now, What: seen.GivenUp, Origin: seen.Origin(n), Type: o.evt, Destination: o.dest})
+	m.close(n)
+}
+
+// close notes that a copy comes to nothing more.
+func (m *Model) close(n int32) {
+	o := &m.origins[n]
+	if o.live--; o.live == 0 {
+		m.open--
+	}
+}
+
+// unanswered takes back what was handed in to a dispatcher that died before it was taken on.
+func (m *Model) unanswered(id gateway.WebhookID, d *dispatcher) {
+	n := d.held[id].origin
+	delete(d.held, id)
+	m.after(answerWithin, event{kind: evHandIn, a: n})
+}
+
+// unheard has a client come again that never heard that its webhook is taken on: from now on there are two.
+func (m *Model) unheard(n int32) {
+	m.origins[n].live++
+	m.after(answerWithin, event{kind: evHandIn, a: n})
+}
--- /dev/null
+++ b/lab/baseline/baseline.go
@@ -0,0 +1,246 @@
+// Package baseline holds plain policies that the decision module is compared with. They keep what is easy to
+// keep - who may try again, told waits, drains, order - and know no limits, windows, outages or cold returns.
+// Nothing of the product imports them.
+package baseline
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"rowanlink/gateway"
+	"rowanlink/internal/due"
+)
+
+// Waits are the pauses before a retry, by its number from zero.
+type Waits func(retry int, chance *rand.Rand) gateway.Micros
+
+// None tries again at once.
+func None(int, *rand.Rand) gateway.Micros { return 0 }
+
+// Doubled waits a tenth of a second, then twice as long each time, up to ten seconds, without chance.
+func Doubled(retry int, _ *rand.Rand) gateway.Micros {
+	return min(gateway.Second/10<<min(retry, 20), 10*gateway.Second)
+}
+
+// Policy sends each webhook as soon as a slot is free, in the order taken, to the endpoints in turn.
+type Policy struct {
+	f      gateway.Facts
+	host   gateway.Host
+	tries  int
+	waits  Waits
+	chance *rand.Rand
+
+	held  map[gateway.WebhookID]*webhook
+	queue []*webhook
+	dues  due.Times[*webhook]
+	armed gateway.Micros
+	dests map[gateway.DestinationID]*destination
+	eps   map[gateway.EndpointID]*endpoint
+	lines map[gateway.Key]*line
+	out   int
+}
+
+type destination struct {
+	endpoints []*endpoint
+	next      int
+	wait      gateway.Micros
+}
+
+type endpoint struct {
+	id     gateway.EndpointID
+	zone   gateway.ZoneID
+	listed bool
+	dest   *destination
+}
+
+type webhook struct {
+	id       gateway.WebhookID
+	evt      gateway.EventType
+	key      gateway.Key
+	ttl      gateway.Micros
+	dest     *destination
+	attempts int
+	mayRun   gateway.Micros
+	zone     gateway.ZoneID
+	readyAt  gateway.Micros
+	sentAt   gateway.Micros
+	out      bool
+}
+
+type line struct {
+	in   []*webhook
+	rest gateway.Micros
+}
+
+// New makes a policy of so many tries for each webhook, as far as the facts allow them.
+func New(f gateway.Facts, host gateway.Host, tries int, waits Waits) *Policy {
+	return &Policy{f: f, host: host, tries: min(tries, f.MaxAttempts), waits: waits,
+		chance: rand.New(rand.NewPCG(f.Seed, 0)), held: map[gateway.WebhookID]*webhook{}, armed: math.MaxInt64,
+		dests: map[gateway.DestinationID]*destination{}, eps: map[gateway.EndpointID]*endpoint{},
+		lines: map[gateway.Key]*line{}}
+}
+
+func (p *Policy) destination(id gateway.DestinationID) *destination {
+	if p.dests[id] == nil {
+		p.dests[id] = &destination{}
+	}
+	return p.dests[id]
+}
+
+func (p *Policy) Endpoints(list []gateway.Entry, _ bool) {
+	for _, l := range list {
+		e := p.eps[l.Endpoint]
+		if e == nil {
+			e = &endpoint{id: l.Endpoint, zone: l.Zone, dest: p.destination(l.Destination)}
+			p.eps[l.Endpoint] = e
+			e.dest.endpoints = append(e.dest.endpoints, e)
+		}
+		if e.listed = l.Standing == gateway.Listed; !e.listed {
+			e.dest.endpoints = slices.DeleteFunc(e.dest.endpoints, func(x *endpoint) bool { return x == e })
+			delete(p.eps, l.Endpoint)
+		}
+	}
+}
+
+func (p *Policy) Take(id gateway.WebhookID, evt gateway.EventTypeID, tenant gateway.TenantID,
+	key gateway.Key, ttl gateway.Micros, dest gateway.DestinationID) {
+	p.Resume(id, evt, tenant, key, ttl, dest, 0, gateway.Never, 0)
+}
+
+func (p *Policy) Resume(id gateway.WebhookID, evt gateway.EventTypeID, _ gateway.TenantID, key gateway.Key,
+	ttl gateway.Micros, dest gateway.DestinationID, attempts int, mayRun gateway.Micros, zone gateway.ZoneID) {
+	w := &webhook{id: id, evt: p.f.EventTypes[min(int(evt), len(p.f.EventTypes)-1)], key: key, ttl: ttl,
+		dest: p.destination(dest), attempts: attempts, mayRun: mayRun, zone: zone}
+	if !w.evt.Ordered {
+		w.key = 0
+	}
+	p.held[id] = w
+	if w.key != 0 {
+		if p.lines[w.key] == nil {
+			p.lines[w.key] = &line{}
+		}
+		l := p.lines[w.key]
+		if l.in = append(l.in, w); mayRun != gateway.Never {
+			l.rest = p.host.Now() + p.f.TurnGap
+			p.dues.Add(int64(l.rest), nil)
+		}
+	}
+	p.dues.Add(int64(ttl-2*p.f.Tick), w)
+	if attempts > 0 {
+		p.again(w)
+		return
+	}
+	p.queue = append(p.queue, w)
+}
+
+func (p *Policy) Outcome(id gateway.WebhookID, ep gateway.EndpointID, what gateway.Outcome,
+	_ gateway.Micros, ended bool, wait gateway.Micros) {
+	w := p.held[id]
+	if w == nil || !w.out {
+		return
+	}
+	w.out = false
+	p.out--
+	if wait > 0 {
+		w.dest.wait = max(w.dest.wait, p.host.Now()+wait)
+		p.dues.Add(int64(w.dest.wait), nil)
+	}
+	if !what.NeverRan() && w.mayRun == gateway.Never {
+		w.mayRun = w.sentAt
+	}
+	if l := p.lines[w.key]; w.key != 0 && what.MayStillRun() {
+		l.rest = max(l.rest, p.host.Now()+p.f.TurnGap)
+		p.dues.Add(int64(l.rest), nil)
+	}
+	if ended {
+		p.forget(w)
+		return
+	}
+	p.again(w)
+}
+
+func (p *Policy) again(w *webhook) {
+	w.readyAt = p.host.Now() + p.waits(max(w.attempts-1, 0), p.chance)
+	if w.attempts >= p.tries || w.evt.Repeat == gateway.AtMostOnce && w.mayRun != gateway.Never ||
+		w.readyAt >= p.last(w) {
+		p.end(w)
+		return
+	}
+	p.dues.Add(int64(max(w.readyAt, w.dest.wait)), nil)
+	p.dues.Add(int64(p.last(w)), w)
+	p.queue = append(p.queue, w)
+}
+
+// last is the last moment for an attempt.
+func (p *Policy) last(w *webhook) gateway.Micros {
+	last := w.ttl - 2*p.f.Tick
+	if w.evt.Repeat == gateway.Tokened && w.mayRun != gateway.Never {
+		last = min(last, w.mayRun+w.evt.TokenWindow-2*p.f.Tick)
+	}
+	return last
+}
+
+func (p *Policy) end(w *webhook) {
+	if w.mayRun != gateway.Never {
+		p.host.DeadLetter(w.id)
+	} else {
+		p.host.Reject(w.id, min(max(w.dest.wait-p.host.Now(), 0), p.f.MaxAdvice))
+	}
+	p.forget(w)
+}
+
+func (p *Policy) forget(w *webhook) {
+	delete(p.held, w.id)
+	if l := p.lines[w.key]; w.key != 0 {
+		l.in = slices.DeleteFunc(l.in, func(x *webhook) bool { return x == w })
+	}
+}
+
+func (p *Policy) Withdrawn(id gateway.WebhookID) {
+	if w := p.held[id]; w != nil && !w.out {
+		p.forget(w)
+	}
+}
+
+func (p *Policy) Wake(gateway.TimerID) { p.armed = math.MaxInt64 }
+
+func (p *Policy) TurnOver() {
+	now := p.host.Now()
+	for w, ok := p.dues.Take(int64(now)); ok; w, ok = p.dues.Take(int64(now)) {
+		if w != nil && p.held[w.id] == w && !w.out && now >= p.last(w) {
+			p.end(w)
+		}
+	}
+	p.queue = slices.DeleteFunc(p.queue, func(w *webhook) bool {
+		return p.held[w.id] != w || w.out || p.send(w, now)
+	})
+	if at, ok := p.dues.Next(); ok && gateway.Micros(at) < p.armed {
+		p.armed = gateway.Micros(at)
+		p.host.Wake(max(p.armed-now, 1), 0)
+	}
+}
+
+func (p *Policy) send(w *webhook, now gateway.Micros) bool {
+	if p.out >= p.f.Slots || now < max(w.readyAt, w.dest.wait) || len(w.dest.endpoints) == 0 {
+		return false
+	}
+	if l := p.lines[w.key]; w.key != 0 && (l.in[0] != w || w.attempts == 0 && now < l.rest) {
+		return false
+	}
+	n := len(w.dest.endpoints)
+	for i := range n {
+		e := w.dest.endpoints[(w.dest.next+i)%n]
+		if w.evt.TokenByZone && w.evt.Repeat == gateway.Tokened && w.mayRun != gateway.Never && e.zone != w.zone {
+			continue
+		}
+		w.dest.next = (w.dest.next + i + 1) % n
+		if w.out, w.sentAt, w.attempts = true, now, w.attempts+1; w.mayRun == gateway.Never {
+			w.zone = e.zone
+		}
+		p.out++
+		p.host.Attempt(w.id, e.id, (w.ttl-now)/2+1)
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/lab/file.go
@@ -0,0 +1,162 @@
+// Package lab makes experiments with the emulator: scenarios from files, runs under a module or a baseline,
+// grids of runs, comparisons, searches for the worst, and the tables and charts of all of them.
+package lab
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"rowanlink/emulator"
+)
+
+// FileError is what is wrong with a file, with its place. Line is from 1, or 0 where the file as a whole is
+// meant; Key is the key's path, with the number of a table in its list.
+type FileError struct {
+	File string
+	Line int
+	Key  string
+	Text string
+}
+
+func (e FileError) Error() string {
+	at := e.File
+	if e.Line > 0 {
+		at += ":" + strconv.Itoa(e.Line)
+	}
+	if e.Key != "" {
+		at += ": " + e.Key
+	}
+	return at + ": " + e.Text
+}
+
+// Load reads a scenario. All that is wrong is named at once, as joined FileErrors.
+func Load(path string) (*emulator.Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+// Parse is Load on text already read; path only names it in errors.
+func Parse(path string, text []byte) (*emulator.Scenario, error) {
+	s := &emulator.Scenario{}
+	if err := decode(path, text, s); err != nil {
+		return nil, err
+	}
+	s.Complete()
+	if err := s.Check(); err != nil {
+		return nil, placed(path, text, err)
+	}
+	return s, nil
+}
+
+// decode reads TOML in which every key must be known.
+func decode(path string, text []byte, to any) error {
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	err := d.Decode(to)
+	var unknown *toml.StrictMissingError
+	var bad *toml.DecodeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &unknown):
+		var all []error
+		for i := range unknown.Errors {
+			e := &unknown.Errors[i]
+			line, _ := e.Position()
+			all = append(all, FileError{path, line, strings.Join(e.Key(), "."), "unknown key"})
+		}
+		return errors.Join(all...)
+	case errors.As(err, &bad):
+		line, _ := bad.Position()
+		text := strings.TrimPrefix(bad.Error(), "toml: ")
+		return FileError{path, line, keyAt(text2(bad), strings.Join(bad.Key(), ".")), text}
+	}
+	return FileError{File: path, Text: err.Error()}
+}
+
+// text2 is the decoder's own picture of the place, which holds the line as it stands in the file.
+func text2(e *toml.DecodeError) string { return e.String() }
+
+// keyAt falls back on the key that stands in the line, where the decoder names none.
+func keyAt(picture, key string) string {
+	if key != "" {
+		return key
+	}
+	for line := range strings.Lines(picture) {
+		if _, rest, ok := strings.Cut(line, "| "); ok {
+			if name, _, ok := strings.Cut(rest, "="); ok && !strings.Contains(rest, "~") {
+				key = strings.TrimSpace(name)
+			}
+		}
+	}
+	return key
+}
+
+// placed puts the lines of their keys to what a check found.
+func placed(path string, text []byte, err error) error {
+	where := lines(text)
+	var all []error
+	list, ok := err.(interface{ Unwrap() []error })
+	if !ok {
+		return FileError{File: path, Text: err.Error()}
+	}
+	for _, e := range list.Unwrap() {
+		var f emulator.Fault
+		if !errors.As(e, &f) {
+			all = append(all, FileError{File: path, Text: e.Error()})
+			continue
+		}
+		key := f.Key
+		for key != "" && where[key] == 0 { // a key that was left out is placed at its table
+			key = key[:max(strings.LastIndexByte(key, '.'), 0)]
+		}
+		all = append(all, FileError{path, where[key], f.Key, f.Text})
+	}
+	return errors.Join(all...)
+}
+
+// lines finds the line of each key, tables of a list numbered from 0.
+func lines(text []byte) map[string]int {
+	where, count := map[string]int{}, map[string]int{}
+	table := ""
+	p := unstable.Parser{}
+	p.Reset(text)
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			n := it.Node()
+			parts = append(parts, string(n.Data))
+			if line == 0 {
+				line = p.Shape(p.Range(n.Data)).Start.Line
+			}
+		}
+		name := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.ArrayTable:
+			table = fmt.Sprintf("%s.%d", name, count[name])
+			count[name]++
+			where[table] = line
+		case unstable.Table:
+			table = name
+			where[table] = line
+		case unstable.KeyValue:
+			where[strings.TrimPrefix(table+"."+name, ".")] = line
+		}
+	}
+	return where
+}
+
+// Text writes a scenario in the form that Parse reads.
+func Text(s *emulator.Scenario) ([]byte, error) { return toml.Marshal(s) }
--- /dev/null
+++ b/lab/run.go
@@ -0,0 +1,189 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"time"
+
+	"rowanlink/control"
+	"rowanlink/emulator"
+	"rowanlink/emulator/observe"
+	"rowanlink/gateway"
+	"rowanlink/lab/baseline"
+)
+
+// Module is the name of the decision module among policies.
+const Module = "module"
+
+// policies are what a scenario can be played with. All but the module are for comparison only.
+var policies = map[string]emulator.Starter{
+	Module: func(f gateway.Facts, h gateway.Host) gateway.Module { return control.New(f, h) },
+	"once": func(f gateway.Facts, h gateway.Host) gateway.Module { return baseline.New(f, h, 1, baseline.None) },
+	"eager": func(f gateway.Facts, h gateway.Host) gateway.Module {
+		return baseline.New(f, h, f.MaxAttempts, baseline.None)
+	},
+	"exponential": func(f gateway.Facts, h gateway.Host) gateway.Module {
+		return baseline.New(f, h, f.MaxAttempts, baseline.Doubled)
+	},
+}
+
+// Policies are their names, the module first.
+func Policies() []string {
+	names := slices.Sorted(maps.Keys(policies))
+	return slices.Insert(slices.DeleteFunc(names, func(n string) bool { return n == Module }), 0, Module)
+}
+
+// Result is one run in figures. All but Cost is the same each time.
+type Result struct {
+	Scenario string          `json:"scenario"`
+	Policy   string          `json:"policy"`
+	Seed     uint64          `json:"seed"`
+	Ended    float64         `json:"ended_s"` // simulated
+	Events   int             `json:"events"`
+	Peak     int             `json:"peak_events"` // waiting at once
+	Broken   map[string]int  `json:"broken"`
+	Claims   []observe.Claim `json:"claims"`
+	observe.Summary
+	Breaches []observe.Breach `json:"breaches,omitempty"`
+	Cost     *Cost            `json:"cost,omitempty"`
+
+	recorder *observe.Recorder
+}
+
+// Cost is what a run took on this machine; it is measured only where it is asked for.
+type Cost struct {
+	WallS     float64 `json:"wall_s"`
+	ModuleS   float64 `json:"module_s"`
+	PerSecond float64 `json:"events_per_s"`
+	Webhooks  float64 `json:"webhooks_per_s"`
+	HeapMB    float64 `json:"heap_mb"` // taken from the system
+}
+
+// RulesBroken tells whether any rule was.
+func (r *Result) RulesBroken() bool { return len(r.Broken) > 0 }
+
+// Terms are what observers hold a scenario's run to.
+func Terms(s *emulator.Scenario) observe.Terms {
+	// A time-out at the TTL is told in the next turn, and the end that follows is in time.
+	grace := 3*gateway.Micros(s.Dispatchers.Tick) + gateway.Second/20
+	return observe.Terms{Facts: s.Facts(0, 0), DrainGrace: gateway.Micros(s.Rules.DrainGrace), AnswerGrace: grace}
+}
+
+// Play runs a scenario with the named policy.
+func Play(s *emulator.Scenario, policy string, measured bool) (*Result, error) {
+	start, ok := policies[policy]
+	if !ok {
+		return nil, fmt.Errorf("no policy is called %q: there are %s", policy, strings.Join(Policies(), ", "))
+	}
+	r := PlayWith(s, start, measured)
+	r.Policy = policy
+	return r, nil
+}
+
+// PlayWith runs a scenario with any module.
+func PlayWith(s *emulator.Scenario, start emulator.Starter, measured bool) *Result {
+	m := emulator.New(s, start)
+	m.Clocked = measured
+	watch, recorder := observe.NewWatch(Terms(s)), observe.NewRecorder(Terms(s))
+	watch.Join(&m.Bus)
+	m.Bus.Join(recorder)
+	began := time.Now()
+	ended := m.Run()
+	watch.Close(ended)
+	r := &Result{Scenario: s.Name, Seed: s.Seed, Ended: ended.Seconds(), Events: m.Events, Peak: m.Peak,
+		Broken: watch.Broken, Claims: watch.Claims(), Summary: recorder.Close(), Breaches: watch.Breaches,
+		recorder: recorder}
+	if measured {
+		wall := time.Since(began).Seconds()
+		var mem runtime.MemStats
+		runtime.ReadMemStats(&mem)
+		r.Cost = &Cost{WallS: wall, ModuleS: m.Module.Seconds(), PerSecond: float64(m.Events) / wall,
+			Webhooks: float64(r.Offered) / wall, HeapMB: float64(mem.Sys-mem.HeapReleased) / 1e6}
+	}
+	return r
+}
+
+// manifest says what a folder of results was made from.
+type manifest struct {
+	Scenario string            `json:"scenario"`
+	Policies []string          `json:"policies"`
+	Seeds    []uint64          `json:"seeds"`
+	Revision string            `json:"revision"`
+	Go       string            `json:"go"`
+	Modules  map[string]string `json:"modules"`
+}
+
+func newManifest(s *emulator.Scenario, policies []string, seeds []uint64) manifest {
+	m := manifest{Scenario: s.Name, Policies: policies, Seeds: seeds, Go: runtime.Version(),
+		Modules: map[string]string{}}
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, set := range info.Settings {
+			switch set.Key {
+			case "vcs.revision":
+				m.Revision = set.Value + m.Revision
+			case "vcs.modified":
+				if set.Value == "true" {
+					m.Revision += "+changes"
+				}
+			}
+		}
+		for _, d := range info.Deps {
+			m.Modules[d.Path] = d.Version
+		}
+	}
+	return m
+}
+
+// Save writes a run's folder: the scenario, a manifest, the summary and the tables.
+func Save(dir string, s *emulator.Scenario, r *Result) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	text, err := Text(s)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "scenario.toml"), text, 0o644); err != nil {
+		return err
+	}
+	if err := writeJSON(filepath.Join(dir, "manifest.json"),
+		newManifest(s, []string{r.Policy}, []uint64{s.Seed})); err != nil {
+		return err
+	}
+	if err := writeJSON(filepath.Join(dir, "summary.json"), r); err != nil {
+		return err
+	}
+	for name, write := range map[string]func(*os.File) error{
+		"seconds.csv":      func(f *os.File) error { return r.recorder.WriteSeconds(f) },
+		"destinations.csv": func(f *os.File) error { return r.recorder.WriteDestinations(f) },
+		"cold.csv":         func(f *os.File) error { return r.recorder.WriteCold(f) },
+	} {
+		f, err := os.Create(filepath.Join(dir, name))
+		if err != nil {
+			return err
+		}
+		err = write(f)
+		if closed := f.Close(); err == nil {
+			err = closed
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func writeJSON(path string, what any) error {
+	text, err := json.MarshalIndent(what, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
