The module walks what is in use, not all that it knows

Need: a turn walked every destination known twice, each half second every endpoint and the map of all of them.

Destinations with one endpoint are not ranked.

--- a/control/control.go
+++ b/control/control.go
@@ -110,7 +110,7 @@
 		d, e := c.destination(l.Destination), c.endpoints[l.Endpoint]
 		d.kind = c.kinds[min(int(l.Kind), len(c.kinds)-1)]
 		if e == nil {
-			e = &endpoint{id: l.Endpoint, zone: l.Zone, dest: d, route: d.shared, limit: math.Inf(1), listedAt: c.now}
+			e = &endpoint{id: l.Endpoint, zone: l.Zone, dest: d, route: d.shared, limit: math.Inf(1), leftAt: c.now}
 			if d.kind.Apart {
 				e.route = c.newRoute()
 			}
@@ -118,6 +118,8 @@
 		}
 		if e.listed = l.Standing == gateway.Listed; e.listed && !slices.Contains(d.endpoints, e) {
 			d.endpoints = append(d.endpoints, e)
+		} else if !e.listed && !slices.Contains(d.endpoints, e) {
+			c.left = append(c.left, e) // never listed here: it is forgotten like one that was
 		}
 		r, part := e.route, l.Rate/float64(c.Fleet)
 		if c.RatesStated && part > 0 && !math.IsInf(part, 0) && r.stated != part {
@@ -125,7 +127,12 @@
 		}
 	}
 	for _, d := range c.order {
-		d.endpoints = slices.DeleteFunc(d.endpoints, func(e *endpoint) bool { return !e.listed })
+		d.endpoints = slices.DeleteFunc(d.endpoints, func(e *endpoint) bool {
+			if !e.listed {
+				e.leftAt, c.left = c.now, append(c.left, e)
+			}
+			return !e.listed
+		})
 		c.rank(d)
 	}
 }
@@ -138,7 +145,8 @@
 
 func (c *Control) destination(id gateway.DestinationID) *destination {
 	if c.dests[id] == nil {
-		c.dests[id] = &destination{id: id, kind: c.kinds[len(c.kinds)-1], shared: c.newRoute()}
+		c.dests[id] = &destination{id: id, kind: c.kinds[len(c.kinds)-1], shared: c.newRoute(),
+			place: len(c.order)}
 		c.order = append(c.order, c.dests[id])
 	}
 	return c.dests[id]
@@ -173,7 +181,7 @@
 		return
 	}
 	c.dues.Add(int64(c.lastAnswer(w)), w)
-	w.enqueue()
+	c.enqueue(w)
 }
 
 // overShare meters a tenant's webhooks: what comes beyond its share earns little, whatever is done with it.
@@ -215,9 +223,11 @@
 		}
 	}
 	c.ready = c.ready[:0]
-	for _, d := range c.order {
+	// In the order of first hearing, as ties below are broken by it; those that nothing waits for cost nothing.
+	slices.SortFunc(c.busy, func(a, b *destination) int { return a.place - b.place })
+	for _, d := range c.busy {
 		shut := !d.kind.Apart && c.now < d.shared.wakeAt // nothing to look at before, but for an outcome
-		if len(d.queue) == 0 || shut || !slices.ContainsFunc(d.endpoints, c.opens) {
+		if shut || !slices.ContainsFunc(d.endpoints, c.opens) {
 			continue
 		}
 		for _, w := range d.queue {
@@ -231,10 +241,14 @@
 		for i := 0; i < len(c.stages) && c.stages[i](w) == pass; i++ {
 		}
 	}
-	for _, d := range c.order {
+	for _, d := range c.busy {
 		d.prune() // now, so that one sent and back before the next turn does not stand here twice
 	}
 	c.shed()
+	c.busy = slices.DeleteFunc(c.busy, func(d *destination) bool {
+		d.busy = len(d.queue) > 0
+		return !d.busy
+	})
 	if at, ok := c.dues.Next(); ok && gateway.Micros(at) < c.armed {
 		c.armed = gateway.Micros(at)
 		c.host.Wake(max(c.armed-c.now, 1), timerDue)
@@ -395,7 +409,9 @@
 		c.out++
 		r.out++
 		e.out++
-		e.linked = true
+		if !e.linked {
+			e.linked, c.linked = true, append(c.linked, e)
+		}
 		r.tokens--
 		r.loose = r.coldSince == never && !r.sick && r.pace < loose(w.dest, r)
 		if r.sick {
@@ -493,7 +509,7 @@
 func (c *Control) hangUp(e *endpoint) {
 	atOnce := e.route.stated * e.route.mean / float64(gateway.Second) * float64(c.Fleet)
 	few := max(connsBy*atOnce/float64(len(e.dest.endpoints)), connsLeast) < float64(c.Fleet)
-	if few && c.now < e.dest.kind.crowded && e.linked && e.out == 0 {
+	if few && e.listed && c.now < e.dest.kind.crowded && e.out == 0 {
 		e.linked = false
 		c.host.CloseIdle(e.id)
 	}
@@ -510,7 +526,7 @@
 	}
 	c.dues.Add(int64(w.readyAt), w)
 	c.dues.Add(int64(c.lastSend(w)), w)
-	w.enqueue()
+	c.enqueue(w)
 }
 
 // delay is the design's schedule: min(m, random()*2^i) while i <= 2*log2(m), then evenly 80-100% of m. Past
@@ -672,20 +688,27 @@
 	c.host.Wake(gateway.Second/2, timerPeriod)
 	for _, d := range c.order {
 		c.rank(d)
-		for _, e := range d.endpoints {
-			e.listedAt = c.now
-			c.hangUp(e)
-		}
 	}
+	c.linked = slices.DeleteFunc(c.linked, func(e *endpoint) bool {
+		c.hangUp(e)
+		return !e.linked
+	})
 	// Guards against keeping all who ever were: order keys at rest, and endpoints that left the list long ago.
 	maps.DeleteFunc(c.turns, func(_ gateway.Key, t *turn) bool { return len(t.line) == 0 && c.now >= t.restUntil })
-	maps.DeleteFunc(c.endpoints, func(_ gateway.EndpointID, e *endpoint) bool {
-		return e.out == 0 && c.now-e.listedAt > crowdedFor*c.WarmAfter
+	c.left = slices.DeleteFunc(c.left, func(e *endpoint) bool {
+		over := e.out == 0 && c.now-e.leftAt > crowdedFor*c.WarmAfter
+		if over && !e.listed && c.endpoints[e.id] == e {
+			delete(c.endpoints, e.id)
+		}
+		return over || e.listed
 	})
 }
 
 // rank renews the order in which a destination's endpoints are filled: quick and near ones first.
 func (c *Control) rank(d *destination) {
+	if len(d.endpoints) < 2 {
+		return
+	}
 	score := func(e *endpoint) float64 {
 		s := e.mean
 		if e.zone != c.Zone { // not first because unmeasured: each call there holds its slot for longer
@@ -704,8 +727,8 @@
 		c.shedding = !c.shedding
 		c.host.Log(fmt.Sprintf("shedding %v, %d held", c.shedding, c.open))
 	}
-	for c.open > most {
-		d := slices.MaxFunc(c.order, func(a, b *destination) int { return len(a.queue) - len(b.queue) })
+	for c.open > most && len(c.busy) > 0 {
+		d := slices.MaxFunc(c.busy, func(a, b *destination) int { return len(a.queue) - len(b.queue) })
 		var victim *webhook
 		for _, w := range d.queue {
 			if w.mayRun == never && (victim == nil || c.before(victim, w) < 0) {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -479,3 +479,34 @@
 	assert.EqualValues(t, never, e.route.coldSince)
 	assert.Empty(t, s.h.logs, "none was taken for an outage")
 }
+
+func TestOnlyWhatIsInUseIsWalked(t *testing.T) {
+	s := begin(plainFacts(), 0, 0, 0)
+	s.take(1, 0, 2)
+	s.take(2, 0, 2) // the window is one: this one waits
+	s.TurnOver()
+	assert.Equal(t, []*destination{s.dests[2]}, s.busy)
+	s.came(1, gateway.Delivered, 0)
+	s.came(2, gateway.Delivered, 0)
+	assert.Empty(t, s.busy)
+	assert.Len(t, s.linked, 1)
+}
+
+func TestEndpointOffTheListIsForgottenLaterAndOneThatCameBackIsNot(t *testing.T) {
+	s := begin(plainFacts(), 0)
+	gone := func(ep gateway.EndpointID, standing gateway.Standing) {
+		s.Endpoints([]gateway.Entry{{Endpoint: ep, Rate: 1000, Standing: standing}}, false)
+	}
+	gone(0, gateway.Draining)
+	gone(0, gateway.Gone)
+	gone(1, gateway.Draining)
+	s.run(50 * sec)
+	gone(1, gateway.Listed)
+	s.run(60 * sec)
+	assert.Nil(t, s.endpoints[0])
+	assert.NotNil(t, s.endpoints[1])
+	assert.Empty(t, s.left)
+	s.take(1, 0, 0)
+	s.TurnOver()
+	assert.Equal(t, gateway.EndpointID(1), s.h.sent[0].ep)
+}
--- a/control/state.go
+++ b/control/state.go
@@ -25,6 +25,9 @@
 	sickOut   int // of them, to sick routes
 	dests     map[gateway.DestinationID]*destination
 	order     []*destination // all of them, as first heard of
+	busy      []*destination // those with a queue
+	linked    []*endpoint    // those that may have idle connections
+	left      []*endpoint    // those off the list, not yet forgotten
 	endpoints map[gateway.EndpointID]*endpoint
 	turns     map[gateway.Key]*turn
 	dues      due.Times[*webhook] // nil stands for a route that opens
@@ -77,21 +80,21 @@
 
 // endpoint is one address of a destination.
 type endpoint struct {
-	id       gateway.EndpointID
-	zone     gateway.ZoneID
-	dest     *destination
-	route    *route
-	listed   bool
-	listedAt gateway.Micros // last seen on the list
-	out      int            // calls out
-	linked   bool           // it may have idle connections
-	limit    float64        // calls out at most, by the cap on connections met
-	mean     float64        // answer time in µs, smoothed
-	okAt     gateway.Micros // last delivery
-	fails    int            // failures in a row
-	brokeAt  gateway.Micros // last failure
-	tryAt    gateway.Micros // sick: not before then
-	open     *call          // call of this turn that still has room
+	id      gateway.EndpointID
+	zone    gateway.ZoneID
+	dest    *destination
+	route   *route
+	listed  bool
+	leftAt  gateway.Micros // off the list since then
+	out     int            // calls out
+	linked  bool           // it may have idle connections
+	limit   float64        // calls out at most, by the cap on connections met
+	mean    float64        // answer time in µs, smoothed
+	okAt    gateway.Micros // last delivery
+	fails   int            // failures in a row
+	brokeAt gateway.Micros // last failure
+	tryAt   gateway.Micros // sick: not before then
+	open    *call          // call of this turn that still has room
 }
 
 // route is what limits, waits and outages belong to: a destination, or one endpoint where routes are apart.
@@ -133,12 +136,17 @@
 	endpoints []*endpoint // ranked
 	queue     []*webhook  // held, not out
 	stale     bool        // some of the queue is held no longer
+	busy      bool        // it stands among the busy ones
+	place     int         // in the order of first hearing
 }
 
 // enqueue puts a webhook into its destination's queue.
-func (w *webhook) enqueue() {
-	w.queued = true
-	w.dest.queue = append(w.dest.queue, w)
+func (c *Control) enqueue(w *webhook) {
+	d := w.dest
+	w.queued, d.queue = true, append(d.queue, w)
+	if !d.busy {
+		d.busy, c.busy = true, append(c.busy, d)
+	}
 }
 
 // dequeue marks it for the next prune.
