--- a/control/control_test.go
+++ b/control/control_test.go
@@ -487,6 +487,7 @@
 	s.TurnOver()
 	assert.Equal(t, []*destination{s.dests[2]}, s.busy)
 	s.came(1, gateway.Delivered, 0)
+	s.run(sec)
 	s.came(2, gateway.Delivered, 0)
 	assert.Empty(t, s.busy)
 	assert.Len(t, s.linked, 1)
