--- a/cmd/rowanlab/main.go
+++ b/cmd/rowanlab/main.go
@@ -23,7 +23,7 @@
 			"3 done, and a rule was broken.",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), checkCommand())
+	root.AddCommand(runCommand(), checkCommand(), sweepCommand(), compareCommand(), huntCommand(), plotCommand())
 	switch err := root.Execute(); {
 	case errors.Is(err, errBroken):
 		os.Exit(3)
--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -191,13 +192,13 @@
 }
 
 // troubles says what each kind of trouble needs.
-var troubles = map[string]struct{ endpoints, dispatchers, size, share bool }{
-	"down": {endpoints: true}, "hang": {endpoints: true}, "shut": {endpoints: true},
-	"slow": {endpoints: true, size: true}, "errors": {endpoints: true, size: true, share: true},
-	"resets": {endpoints: true, size: true, share: true}, "lost": {endpoints: true, size: true, share: true},
-	"flap": {endpoints: true}, "replace": {endpoints: true},
-	"kill": {dispatchers: true}, "restart": {dispatchers: true}, "freeze": {dispatchers: true},
-	"list_late": {dispatchers: true}, "burst": {size: true}, "hot": {endpoints: true, size: true, share: true},
+var troubles = map[string]Need{
+	"down": {Endpoints: true}, "hang": {Endpoints: true}, "shut": {Endpoints: true},
+	"slow": {Endpoints: true, Size: true}, "errors": {Endpoints: true, Size: true, Share: true},
+	"resets": {Endpoints: true, Size: true, Share: true}, "lost": {Endpoints: true, Size: true, Share: true},
+	"flap": {Endpoints: true}, "replace": {Endpoints: true},
+	"kill": {Dispatchers: true}, "restart": {Dispatchers: true}, "freeze": {Dispatchers: true},
+	"list_late": {Dispatchers: true}, "burst": {Size: true}, "hot": {Endpoints: true, Size: true, Share: true},
 }
 
 // Fault is one impossible value: Key is its place, such as kind.1.batch.
@@ -360,11 +361,11 @@
 	}
 	must(t.At <= s.Length, at+"at", "begins after the scenario's length")
 	named := len(t.Destinations) > 0 || t.Busiest > 0 || t.Share > 0 || t.Zone != "" || t.OfKind != ""
-	must(!needs.endpoints || named, at+"kind",
+	must(!needs.Endpoints || named, at+"kind",
 		"%s strikes nobody: give destinations, busiest, share, zone or of_kind", t.Kind)
-	must(!needs.dispatchers || len(t.Dispatchers) > 0, at+"kind", "%s strikes nobody: give dispatchers", t.Kind)
-	must(!needs.size || t.Size > 0, at+"size", "%s needs a size over 0", t.Kind)
-	must(!needs.share || t.Size <= 1, at+"size", "must be a share of at most 1")
+	must(!needs.Dispatchers || len(t.Dispatchers) > 0, at+"kind", "%s strikes nobody: give dispatchers", t.Kind)
+	must(!needs.Size || t.Size > 0, at+"size", "%s needs a size over 0", t.Kind)
+	must(!needs.Share || t.Size <= 1, at+"size", "must be a share of at most 1")
 	must(t.Kind != "flap" || t.Every > 0, at+"every", "flap needs a time over 0")
 	must(member(t.Address, "new", "same"), at+"address", "%q is neither new nor same", t.Address)
 	must(share(t.Share), at+"share", "must be a share from 0 to 1")
@@ -413,3 +414,12 @@
 	}
 	return f
 }
+
+// Need says which fields of a trouble its kind asks for.
+type Need struct{ Endpoints, Dispatchers, Size, Share bool }
+
+// Needs of a kind of trouble.
+func Needs(kind string) Need { return troubles[kind] }
+
+// TroubleKinds are the names of all kinds of trouble, in order.
+func TroubleKinds() []string { return slices.Sorted(maps.Keys(troubles)) }
--- /dev/null
+++ b/lab/hunt.go
@@ -0,0 +1,216 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+
+	"rowanlink/emulator"
+)
+
+// Hunt searches round a scenario for the run that breaks a rule, or else loses most, and makes it small.
+type Hunt struct {
+	Start emulator.Starter
+	Runs  int // at most, for the search; as many again for the shrinking
+	Seed  uint64
+	Step  func()
+}
+
+// Found is the worst run of a hunt, as a scenario that plays it again.
+type Found struct {
+	Scenario *emulator.Scenario
+	Rule     string // that it breaks, or none
+	Loss     float64
+	Played   int // runs in all
+	Shrunk   int // steps of shrinking that held
+}
+
+// kept is the part of a found loss that a smaller scenario must still show.
+const kept = 0.9
+
+// Find hunts. The same scenario, seed and module give the same find.
+func (h *Hunt) Find(base *emulator.Scenario) *Found {
+	chance := rand.New(rand.NewPCG(h.Seed, 0))
+	tries := make([]*emulator.Scenario, h.Runs)
+	for i := range tries {
+		tries[i] = vary(base, chance)
+	}
+	results := make([]*Result, len(tries))
+	Parallel(runtime.GOMAXPROCS(0), len(tries), func(i int) {
+		results[i] = PlayWith(tries[i], h.Start, false)
+		h.Step()
+	})
+	worst := 0
+	for i, r := range results {
+		if worse(r, results[worst]) {
+			worst = i
+		}
+	}
+	f := &Found{Scenario: tries[worst], Loss: 1 - results[worst].Value, Played: h.Runs}
+	if rules := sortedRules(results[worst]); len(rules) > 0 {
+		f.Rule = rules[0]
+	}
+	h.shrink(f)
+	f.Scenario.Name = base.Name + "-found"
+	f.Scenario.About = fmt.Sprintf("Found by hunt in %d runs: loss %.3f, rule broken: %q.", f.Played, f.Loss, f.Rule)
+	return f
+}
+
+// worse ranks broken rules before losses.
+func worse(a, b *Result) bool {
+	if a.RulesBroken() != b.RulesBroken() {
+		return a.RulesBroken()
+	}
+	return a.Value < b.Value
+}
+
+// vary draws one to three troubles, their sizes and timings, and a load.
+func vary(base *emulator.Scenario, chance *rand.Rand) *emulator.Scenario {
+	s := *base
+	s.Seed = 1 + chance.Uint64N(1<<31)
+	s.Troubles = nil
+	s.Clients.Rate = round(base.Clients.Rate * (0.5 + chance.Float64()))
+	s.Dispatchers.Count = max(int(float64(base.Dispatchers.Count)*(0.5+chance.Float64())), 1)
+	kinds := emulator.TroubleKinds()
+	for range 1 + chance.IntN(3) {
+		s.Troubles = append(s.Troubles, draw(&s, kinds[chance.IntN(len(kinds))], chance))
+	}
+	return &s
+}
+
+func draw(s *emulator.Scenario, kind string, chance *rand.Rand) emulator.Trouble {
+	length := float64(s.Length)
+	t := emulator.Trouble{Kind: kind, At: span(length * (0.1 + 0.5*chance.Float64())),
+		For: span(length * (0.05 + 0.3*chance.Float64())), Drain: span(length * (0.02 + 0.1*chance.Float64())),
+		Address: []string{"new", "same"}[chance.IntN(2)], Every: span(length * (0.02 + 0.1*chance.Float64()))}
+	n := emulator.Needs(kind)
+	if n.Endpoints {
+		if t.Busiest = 1 + chance.IntN(min(5, s.Destinations.Busy)); chance.IntN(2) == 0 {
+			t.Busiest, t.Destinations = 0, []int{chance.IntN(s.Destinations.Busy)}
+		}
+		t.One = chance.IntN(3) == 0
+	}
+	if n.Dispatchers {
+		for i := range s.Dispatchers.Count {
+			if chance.IntN(2) == 0 || i == 0 {
+				t.Dispatchers = append(t.Dispatchers, i)
+			}
+		}
+		t.Journal, t.InTurn = chance.IntN(3) > 0, chance.IntN(2) == 0
+		t.Delay, t.Stale = span(length*0.2*chance.Float64()), span(length*0.1*chance.Float64())
+	}
+	if n.Share {
+		t.Size = round(0.1 + 0.9*chance.Float64())
+	} else if n.Size {
+		t.Size = round(1.5 + 3*chance.Float64())
+	}
+	if kind != "replace" && kind != "restart" {
+		t.Drain = 0
+	}
+	t.Silent = kind == "down" && chance.IntN(2) == 0
+	return t
+}
+
+// span keeps drawn times short to read: whole tenths of a second.
+func span(us float64) emulator.Span { return emulator.Span(max(us/1e5, 1)) * 100_000 }
+
+func round(x float64) float64 { return float64(int(x*100)) / 100 }
+
+// shrink takes away whatever the find does not need: troubles, their length and breadth, time, load, machines.
+func (h *Hunt) shrink(f *Found) {
+	left := h.Runs
+	for again := true; again; {
+		again = false
+		for _, smaller := range steps(f.Scenario) {
+			if left--; left < 0 {
+				return
+			}
+			if smaller.Complete(); smaller.Check() != nil {
+				continue
+			}
+			r := PlayWith(smaller, h.Start, false)
+			f.Played++
+			h.Step()
+			holds := f.Rule == "" && !r.RulesBroken() && 1-r.Value >= kept*f.Loss || f.Rule != "" && r.Broken[f.Rule] > 0
+			if holds {
+				f.Scenario, f.Shrunk, again = smaller, f.Shrunk+1, true
+				if f.Rule == "" {
+					f.Loss = max(f.Loss, 1-r.Value)
+				} else {
+					f.Loss = 1 - r.Value
+				}
+				break
+			}
+		}
+	}
+}
+
+// steps are the ways in which a scenario may get smaller by one step.
+func steps(s *emulator.Scenario) (all []*emulator.Scenario) {
+	with := func(change func(*emulator.Scenario) bool) {
+		c := *s
+		c.Troubles = slices.Clone(s.Troubles)
+		for i := range c.Troubles {
+			c.Troubles[i].Dispatchers = slices.Clone(c.Troubles[i].Dispatchers)
+		}
+		if change(&c) {
+			all = append(all, &c)
+		}
+	}
+	for i := range s.Troubles {
+		with(func(c *emulator.Scenario) bool {
+			c.Troubles = slices.Delete(c.Troubles, i, i+1)
+			return true
+		})
+		with(func(c *emulator.Scenario) bool {
+			t := &c.Troubles[i]
+			t.For = t.For / 2 / 100_000 * 100_000
+			return t.For > 0
+		})
+		with(func(c *emulator.Scenario) bool {
+			t := &c.Troubles[i]
+			t.Busiest /= 2
+			return t.Busiest > 0
+		})
+		with(func(c *emulator.Scenario) bool {
+			t := &c.Troubles[i]
+			t.Dispatchers = t.Dispatchers[:len(t.Dispatchers)/2]
+			return len(t.Dispatchers) > 0
+		})
+	}
+	with(func(c *emulator.Scenario) bool {
+		last := emulator.Span(0)
+		for _, t := range c.Troubles {
+			last = max(last, t.At+t.For)
+		}
+		c.Length = max(c.Length*3/4, last) / 100_000 * 100_000
+		return c.Length < s.Length
+	})
+	with(func(c *emulator.Scenario) bool {
+		c.Clients.Rate = round(c.Clients.Rate * 0.7)
+		return c.Clients.Rate >= 1
+	})
+	with(func(c *emulator.Scenario) bool {
+		c.Dispatchers.Count = c.Dispatchers.Count * 2 / 3
+		for i := range c.Troubles {
+			t := &c.Troubles[i]
+			before := len(t.Dispatchers)
+			t.Dispatchers = slices.DeleteFunc(t.Dispatchers, func(d int) bool { return d >= c.Dispatchers.Count })
+			if before > 0 && len(t.Dispatchers) == 0 {
+				return false
+			}
+		}
+		return c.Dispatchers.Count > 0
+	})
+	with(func(c *emulator.Scenario) bool {
+		c.Destinations.Count = c.Destinations.Count * 2 / 3
+		c.Destinations.Busy = min(c.Destinations.Busy, c.Destinations.Count)
+		return c.Destinations.Count > 0
+	})
+	with(func(c *emulator.Scenario) bool {
+		c.Tenants = nil
+		return len(s.Tenants) > 0
+	})
+	return all
+}
--- a/lab/run.go
+++ b/lab/run.go
@@ -76,12 +76,21 @@
 	return observe.Terms{Facts: s.Facts(0, 0), DrainGrace: gateway.Micros(s.Rules.DrainGrace), AnswerGrace: grace}
 }
 
-// Play runs a scenario with the named policy.
-func Play(s *emulator.Scenario, policy string, measured bool) (*Result, error) {
+// Starter is the policy of that name.
+func Starter(policy string) (emulator.Starter, error) {
 	start, ok := policies[policy]
 	if !ok {
 		return nil, fmt.Errorf("no policy is called %q: there are %s", policy, strings.Join(Policies(), ", "))
 	}
+	return start, nil
+}
+
+// Play runs a scenario with the named policy.
+func Play(s *emulator.Scenario, policy string, measured bool) (*Result, error) {
+	start, err := Starter(policy)
+	if err != nil {
+		return nil, err
+	}
 	r := PlayWith(s, start, measured)
 	r.Policy = policy
 	return r, nil
