--- a/emulator/observe/claims.go
+++ b/emulator/observe/claims.go
@@ -12,51 +12,85 @@
 const (
 	enough    = 30  // pauses of a kind by which one can judge
 	judgedTo  = 4   // retries from there on are few and mostly waits that were told
+	sickFrom  = 3   // failures in a row after which more than the schedule may hold a webhook
+	flat      = .9  // a later pause over the one before it, at the least
 	sickAfter = 12  // failures in a row that make a destination sick for anybody who looks from outside
 	most34    = .75 // of the slots, to one destination
 	most12    = .5  // of the slots, to a sick one
 	varies    = .2  // standard deviation of a pause by chance, over its mean
 )
 
-// pause is what lies between an outcome and the next try of the same webhook.
+// pauses gives what lies between an outcome and the next try of the same webhook, where nothing but the
+// schedule explains it: no told wait, and a route that was well for the dispatcher before, and stayed so.
+type pauses struct {
+	t     Terms
+	heard map[stay]pause
+	of    map[toRoute]*health
+}
+
 type pause struct {
-	at   gateway.Micros
-	try  int
-	told bool // a wait was told, which is not the schedule's
+	at  gateway.Micros
+	try int
+	on  *health
+	row int // failures in a row there when it began
+}
+
+// health is a route as a dispatcher's outcomes show it.
+type health struct {
+	row         int
+	okAt, illAt gateway.Micros
+}
+
+func newPauses(t Terms) pauses {
+	return pauses{t, map[stay]pause{}, map[toRoute]*health{}}
 }
 
-// seePause gives the pause that a send ends, if it ends one.
-func seePause(heard map[stay]pause, e *seen.Event) (p pause, long gateway.Micros, ok bool) {
+var pausesWant = []seen.What{seen.Heard, seen.Sent, seen.Ended}
+
+func (p *pauses) see(e *seen.Event) (try int, long gateway.Micros, ok bool) {
 	k := stayOf(e)
 	switch e.What {
 	case seen.Heard:
-		if e.Outcome != gateway.Delivered && e.Outcome != gateway.NotSent {
-			heard[k] = pause{e.At, e.Attempt, e.Wait > 0}
+		h := p.of[toRouteOf(e)]
+		if h == nil {
+			h = &health{okAt: gateway.Never, illAt: gateway.Never}
+			p.of[toRouteOf(e)] = h
+		}
+		switch {
+		case e.Outcome == gateway.Delivered:
+			h.row, h.okAt = 0, e.At
+			return
+		case e.Outcome == gateway.NotSent:
+			return
+		}
+		if h.row++; h.row >= sickFrom || e.Wait > 0 {
+			h.illAt = e.At
+		}
+		ill := h.illAt != gateway.Never && e.At-h.illAt < 2*p.t.WarmAfter
+		if !ill && h.okAt != gateway.Never && e.At-h.okAt < p.t.TipAfter {
+			p.heard[k] = pause{e.At, e.Attempt, h, h.row}
 		}
 	case seen.Sent:
-		if p, ok = heard[k]; ok {
-			delete(heard, k)
-			return p, e.At - p.at, !p.told
+		if was, there := p.heard[k]; there {
+			delete(p.heard, k)
+			return was.try, e.At - was.at, was.on.row <= was.row && was.on.illAt < was.at
 		}
 	case seen.Ended:
-		delete(heard, k)
+		delete(p.heard, k)
 	}
-	return p, 0, false
+	return 0, 0, false
 }
 
-var pausesWant = []seen.What{seen.Heard, seen.Sent, seen.Ended}
-
 // backoff: the pause before the next try grows from try to try.
 type backoff struct {
-	t     Terms
-	heard map[stay]pause
-	by    [judgedTo][]float64
+	pauses
+	by [judgedTo][]float64
 }
 
 func (o *backoff) Wants() []seen.What { return pausesWant }
 func (o *backoff) See(e *seen.Event) {
-	if p, long, ok := seePause(o.heard, e); ok && p.try < judgedTo {
-		o.by[p.try] = append(o.by[p.try], long.Seconds())
+	if try, long, ok := o.see(e); ok && try < judgedTo {
+		o.by[try] = append(o.by[try], long.Seconds())
 	}
 }
 
@@ -69,9 +103,12 @@
 		}
 		mean := stat.Mean(pauses, nil)
 		c.Text += fmt.Sprintf(" %.3f", mean)
-		if i > 0 {
+		if i == 0 && mean <= o.t.Tick.Seconds() { // no pause at all
+			c.Seen, c.Kept = true, false
+		}
+		if i > 0 { // in the late band pauses no longer grow
 			c.Seen = true
-			c.Kept = c.Kept && mean > last
+			c.Kept = c.Kept && (i == 1 && mean > last || i > 1 && mean > flat*last)
 		}
 		last = mean
 	}
@@ -81,13 +118,13 @@
 
 // jitter: pauses vary by chance.
 type jitter struct {
-	heard map[stay]pause
+	pauses
 	first []float64
 }
 
 func (o *jitter) Wants() []seen.What { return pausesWant }
 func (o *jitter) See(e *seen.Event) {
-	if p, long, ok := seePause(o.heard, e); ok && p.try == 0 {
+	if try, long, ok := o.see(e); ok && try == 0 {
 		o.first = append(o.first, long.Seconds())
 	}
 }
@@ -96,7 +133,7 @@
 	c := Claim{Name: "jitter", Seen: len(o.first) >= enough, Kept: true}
 	if c.Seen {
 		mean, dev := stat.MeanStdDev(o.first, nil)
-		c.Kept = dev > varies*mean
+		c.Kept = dev > varies*mean && mean > o.t.Tick.Seconds()
 		c.Text = fmt.Sprintf("first retry waits %.3f s, standard deviation %.3f s", mean, dev)
 	}
 	return c
--- a/emulator/observe/watch.go
+++ b/emulator/observe/watch.go
@@ -86,11 +86,10 @@
 		&order{teller: tell("order"), t: t, lines: map[line]*queue{}, of: map[stay]*ordered{}},
 		&wait{teller: tell("wait"), until: map[toRoute]gateway.Micros{}},
 	}
-	calls := outs{}
 	w.claims = []claim{
-		&backoff{heard: map[stay]pause{}, t: t},
-		&jitter{heard: map[stay]pause{}},
-		&destCap{t: t, out: calls},
+		&backoff{pauses: newPauses(t)},
+		&jitter{pauses: newPauses(t)},
+		&destCap{t: t, out: outs{}},
 		&isolates{t: t, out: outs{}, fails: map[toRoute]int{}},
 	}
 	return w
