A destination at rest has no route until its first webhook comes

Need: 1,000 dispatchers that know 10,000 destinations took 5.4 GB, some 480 bytes for each that is known and idle, a third of it a route that nothing goes by.

The route is made with the first webhook, from the rate that the list stated and the time since when it is known, so that its bucket stands where it stood.

--- a/control/control.go
+++ b/control/control.go
@@ -110,19 +110,25 @@
 		d, e := c.destination(l.Destination), c.endpoints[l.Endpoint]
 		d.kind = c.kinds[min(int(l.Kind), len(c.kinds)-1)]
 		if e == nil {
-			e = &endpoint{id: l.Endpoint, zone: l.Zone, dest: d, route: d.shared, limit: math.Inf(1), leftAt: c.now}
+			e = &endpoint{id: l.Endpoint, zone: l.Zone, dest: d, limit: math.Inf(1), leftAt: c.now}
 			if d.kind.Apart {
-				e.route = c.newRoute()
+				e.route = c.newRoute(e.id)
 			}
-			e.route.name, c.endpoints[l.Endpoint] = e.id, e
+			c.endpoints[l.Endpoint] = e
 		}
+		e.route = cmp.Or(e.route, d.shared)
 		if e.listed = l.Standing == gateway.Listed; e.listed && !slices.Contains(d.endpoints, e) {
 			d.endpoints = append(d.endpoints, e)
 		} else if !e.listed && !slices.Contains(d.endpoints, e) {
 			c.left = append(c.left, e) // never listed here: it is forgotten like one that was
 		}
 		r, part := e.route, l.Rate/float64(c.Fleet)
-		if c.RatesStated && part > 0 && !math.IsInf(part, 0) && r.stated != part {
+		if !c.RatesStated || !(part > 0) || math.IsInf(part, 0) {
+			continue
+		}
+		if r == nil {
+			d.stated = part
+		} else if r.stated != part {
 			r.stated, r.pace = part, part
 		}
 	}
@@ -138,20 +144,35 @@
 }
 
 // newRoute takes the slots of the whole fleet, each used once a second, for a rate until one is stated.
-func (c *Control) newRoute() *route {
+func (c *Control) newRoute(name gateway.EndpointID) *route {
 	perS := float64(c.Slots)
-	return &route{window: 1, stated: perS, pace: perS, tokens: 1, tokensAt: c.now, coldSince: never}
+	return &route{name: name, window: 1, stated: perS, pace: perS, tokens: 1, tokensAt: c.now, coldSince: never}
 }
 
 func (c *Control) destination(id gateway.DestinationID) *destination {
 	if c.dests[id] == nil {
-		c.dests[id] = &destination{id: id, kind: c.kinds[len(c.kinds)-1], shared: c.newRoute(),
-			place: len(c.order)}
+		c.dests[id] = &destination{id: id, kind: c.kinds[len(c.kinds)-1], knownAt: c.now, place: len(c.order)}
 		c.order = append(c.order, c.dests[id])
 	}
 	return c.dests[id]
 }
 
+// awake gives a destination its route when its first webhook comes. Of all that are known most never get one.
+func (c *Control) awake(d *destination) *destination {
+	if d.shared == nil {
+		d.shared = c.newRoute(0)
+		d.shared.tokensAt = d.knownAt
+		if d.stated > 0 {
+			d.shared.stated, d.shared.pace = d.stated, d.stated
+		}
+		for _, e := range d.endpoints {
+			e.route = cmp.Or(e.route, d.shared)
+			d.shared.name = e.id
+		}
+	}
+	return d
+}
+
 // Take takes on a webhook. From here on it is owed exactly one final answer before its TTL.
 func (c *Control) Take(id gateway.WebhookID, evt gateway.EventTypeID, tenant gateway.TenantID,
 	key gateway.Key, ttl gateway.Micros, dest gateway.DestinationID) {
@@ -165,7 +186,7 @@
 	attempts int, mayRun gateway.Micros, zone gateway.ZoneID) {
 	c.now = c.host.Now()
 	row := &c.events[min(int(evt), len(c.events)-1)]
-	w := &webhook{id: id, evt: row, dest: c.destination(dest), key: key, ttl: ttl, readyAt: c.now,
+	w := &webhook{id: id, evt: row, dest: c.awake(c.destination(dest)), key: key, ttl: ttl, readyAt: c.now,
 		mayRun: mayRun, zone: zone, target: ttl - row.TTL + row.Target, over: c.overShare(tenant),
 		attempts: attempts, retries: max(attempts-1, 0)}
 	c.held[id], c.open = w, c.open+1
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -158,7 +158,8 @@
 func TestReturningDestinationIsNotPushedOver(t *testing.T) {
 	f := plainFacts()
 	s := begin(f, 0)
-	s.dests[0].shared.stated, s.dests[0].shared.pace = 10, 10
+	r := s.awake(s.dests[0]).shared
+	r.stated, r.pace = 10, 10
 	for id := range gateway.WebhookID(90) {
 		s.take(id, 0, 0)
 	}
@@ -251,7 +252,7 @@
 func TestPaceOutgrowsALowStatedRate(t *testing.T) {
 	pace := func(waiting gateway.WebhookID) float64 {
 		s := begin(plainFacts(), 0)
-		r := s.dests[0].shared
+		r := s.awake(s.dests[0]).shared
 		r.stated, r.pace = 2, 2
 		for id := range waiting {
 			s.take(id, 0, 0)
@@ -375,7 +376,7 @@
 		s.take(1, 0, 0)
 		s.TurnOver()
 		s.came(1, gateway.Full, 4*sec) // told to wait for longer than a limit's span: shut
-		r := s.dests[0].shared
+		r := s.awake(s.dests[0]).shared
 		assert.True(t, r.sick)
 		assert.Greater(t, r.tryAt, r.waitUntil, "all come back when it opens")
 		assert.Equal(t, fleet == 200, s.canaryPause(r) > 5*sec)
@@ -511,3 +512,22 @@
 	s.TurnOver()
 	assert.Equal(t, gateway.EndpointID(1), s.h.sent[0].ep)
 }
+
+func TestADestinationAtRestHasNoRouteAndWakesWithWhatTheListSaid(t *testing.T) {
+	s := begin(plainFacts(), 0, 2) // the second one's endpoints are routes apart
+	s.run(10 * sec)
+	d := s.dests[0]
+	assert.Nil(t, d.shared)
+	s.Endpoints([]gateway.Entry{{Endpoint: 1, Standing: gateway.Gone}, {Endpoint: 2, Rate: 40}}, false)
+	s.take(1, 0, 0)
+	s.TurnOver()
+	assert.Equal(t, 40.0, d.shared.stated)
+	assert.Equal(t, 40.0, d.shared.pace)
+	assert.Equal(t, 40*burstSpan-1, d.shared.tokens, "the bucket filled while it rested; one call is out of it")
+	s.Endpoints([]gateway.Entry{{Endpoint: 1, Rate: 40}}, false)
+	for _, e := range d.endpoints {
+		assert.Same(t, d.shared, e.route, "endpoint %d", e.id)
+	}
+	apart := s.dests[1].endpoints
+	assert.NotSame(t, apart[0].route, apart[1].route)
+}
--- a/control/state.go
+++ b/control/state.go
@@ -132,12 +132,14 @@
 type destination struct {
 	id        gateway.DestinationID
 	kind      *kind
-	shared    *route
+	shared    *route      // nil until its first webhook comes
 	endpoints []*endpoint // ranked
 	queue     []*webhook  // held, not out
 	stale     bool        // some of the queue is held no longer
 	busy      bool        // it stands among the busy ones
 	place     int         // in the order of first hearing
+	knownAt   gateway.Micros
+	stated    float64 // as route.stated, until it has one
 }
 
 // enqueue puts a webhook into its destination's queue.
