--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -248,3 +248,20 @@
 	}
 	assert.Positive(t, failed, "four dispatchers share one place")
 }
+
+func TestAPlannedRestartHandsOverAndServesOn(t *testing.T) {
+	s := plain(emulator.Trouble{Kind: "restart", At: 5 * sec, For: sec / 2, Drain: 2 * sec, Dispatchers: []int{0}})
+	w, events, sum := play(t, s, module, seen.Taken, seen.Started)
+	assert.Empty(t, w.Broken, texts(w.Breaches))
+	assert.Zero(t, sum.Died+sum.Unended)
+	taken := map[bool]int{}
+	for _, e := range events {
+		if e.What == seen.Taken && e.Dispatcher == 0 {
+			at := e.At.Seconds()
+			assert.False(t, at > 5.01 && at < 7.5, "taken on at %.2f, on its way out", at)
+			taken[at > 7.5]++
+		}
+	}
+	assert.Positive(t, taken[false])
+	assert.Positive(t, taken[true])
+}
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -33,6 +33,8 @@
 			"small.toml:14: trouble.0.size: must be a share of at most 1"},
 		{"[clients]", "[[trouble]]\nkind = \"kill\"\ndispatchers = [2]\n[clients]",
 			"small.toml:13: trouble.0.dispatchers: 2 is not under dispatchers.count"},
+		{"[clients]", "[[trouble]]\nkind = \"restart\"\ndispatchers = [1]\nin_turn = true\n[clients]",
+			"small.toml:14: trouble.0.in_turn: goes with kill only"},
 	} {
 		_, err := Parse("small.toml", []byte(small(c.change, c.to)))
 		if assert.Error(t, err, c.to) {
