--- a/cmd/rowanlab/main.go
+++ b/cmd/rowanlab/main.go
@@ -17,8 +17,8 @@
 	root := &cobra.Command{
 		Use:   "rowanlab",
 		Short: "Experiments with the emulator of rowanlink",
-		Long: "rowanlab plays scenarios in simulated time round the decision module or a baseline, and keeps what\n" +
-			"came of them as tables and charts.\n\n" +
+		Long: "rowanlab plays scenarios in simulated time round the decision module or a baseline, and keeps\n" +
+			"what came of them as tables and charts.\n\n" +
 			"Results go to standard output, all else to standard error. Exit status: 0 done, 1 could not be done,\n" +
 			"3 done, and a rule was broken.",
 		SilenceUsage: true, SilenceErrors: true,
--- a/emulator/calls.go
+++ b/emulator/calls.go
@@ -52,8 +52,15 @@
 		n = int32(len(m.calls) - 1)
 	}
 	k := &m.calls[n]
-	*k = call{gen: k.gen + 1, at: callMade, d: d.number, ep: ep, server: m.endpoints[ep].server, items: k.items[:0],
-		patience: math.MaxInt64}
+	*k = call{
+		gen:      k.gen + 1,
+		at:       callMade,
+		d:        d.number,
+		ep:       ep,
+		server:   m.endpoints[ep].server,
+		items:    k.items[:0],
+		patience: math.MaxInt64,
+	}
 	return n
 }
 
@@ -78,7 +85,7 @@
 	e := &m.endpoints[k.ep]
 	weight := 1 + m.dests[e.dest].kind.ItemCost*float64(len(k.items)-1)
 	m.Bus.Emit(seen.Event{At: m.now, What: what, Dispatcher: k.d, Endpoint: idOf(k.ep), Destination: e.dest,
-		Route: seen.Route(e.route), Zone: e.zone, Weight: weight})
+		Route: seen.Route(e.route), Zone: e.zone, Weight: weight, Webhook: k.items[0].h.id})
 }
 
 // depart takes an idle connection, the last used first, or opens one.
@@ -196,7 +203,10 @@
 	s := &m.servers[k.server]
 	s.busy++
 	k.atServer, k.serving = true, true
-	m.after(m.served(s, m.dests[m.endpoints[k.ep].dest].kind, len(k.items)), event{kind: evServed, a: n, gen: k.gen})
+	m.after(
+		m.served(s, m.dests[m.endpoints[k.ep].dest].kind, len(k.items)),
+		event{kind: evServed, a: n, gen: k.gen},
+	)
 }
 
 // leaveServer ends a call's service and lets the next ones in.
--- a/emulator/clients.go
+++ b/emulator/clients.go
@@ -113,8 +113,10 @@
 	o := &m.origins[n]
 	if !o.offered {
 		o.offered = true
-		m.Bus.Emit(seen.Event{At: m.now, What: seen.Offered, Origin: seen.Origin(n), Type: o.evt, Destination: o.dest,
-			TTL: o.ttl})
+		m.Bus.Emit(
+			seen.Event{At: m.now, What: seen.Offered, Origin: seen.Origin(n), Type: o.evt, Destination: o.dest,
+				TTL: o.ttl},
+		)
 	}
 	if m.now >= o.ttl {
 		m.giveUp(n)
@@ -155,7 +157,9 @@
 
 func (m *Model) giveUp(n int32) {
 	o := &m.origins[n]
-	m.Bus.Emit(seen.Event{At: m.now, What: seen.GivenUp, Origin: seen.Origin(n), Type: o.evt, Destination: o.dest})
+	m.Bus.Emit(
+		seen.Event{At: m.now, What: seen.GivenUp, Origin: seen.Origin(n), Type: o.evt, Destination: o.dest},
+	)
 	m.close(n)
 }
 
--- a/emulator/dispatcher.go
+++ b/emulator/dispatcher.go
@@ -100,7 +100,8 @@
 	if d.knows > 0 {
 		list = slices.Clone(m.base)
 		for _, c := range m.changes[:d.knows] {
-			if i := slices.IndexFunc(list, func(e gateway.Entry) bool { return e.Endpoint == c.entry.Endpoint }); i >= 0 {
+			same := func(e gateway.Entry) bool { return e.Endpoint == c.entry.Endpoint }
+			if i := slices.IndexFunc(list, same); i >= 0 {
 				list[i] = c.entry
 			} else {
 				list = append(list, c.entry)
--- a/emulator/observe/claims.go
+++ b/emulator/observe/claims.go
@@ -151,11 +151,16 @@
 func (o *destCap) judge() Claim {
 	limit := most(most34, o.t.Slots)
 	return Claim{Name: "dest_cap", Seen: o.worst > 0, Kept: o.worst <= limit,
-		Text: fmt.Sprintf("at most %d calls out to one destination, %d of %d slots allowed", o.worst, limit, o.t.Slots)}
+		Text: fmt.Sprintf(
+			"at most %d calls out to one destination, %d of %d slots allowed",
+			o.worst,
+			limit,
+			o.t.Slots,
+		)}
 }
 
-// isolates: a sick destination holds at most half of the slots. One is sick for a dispatcher once so many of its
-// outcomes there failed in a row that no chance explains it; what was out before that may run on.
+// isolates: a sick destination holds at most half of the slots. One is sick for a dispatcher once so many
+// of its outcomes there failed in a row that no chance explains it; what was out before that may run on.
 type isolates struct {
 	t     Terms
 	out   outs
--- a/emulator/observe/recorder.go
+++ b/emulator/observe/recorder.go
@@ -44,7 +44,8 @@
 	delivered
 )
 
-// Second is what happened within one, by the moment of each thing; what became of webhooks by that of its end.
+// Second is what happened within one, by the moment of each thing; what became of webhooks by that of its
+// end.
 type Second struct {
 	Offered, InTime, Late, Rejected, DeadLettered, Died int
 	Calls, Refused, Connected, Out                      int // Out: calls out, at most
@@ -303,11 +304,16 @@
 // WriteDestinations writes the table by destination as CSV.
 func (r *Recorder) WriteDestinations(to io.Writer) error {
 	w := csv.NewWriter(to)
-	rows := [][]string{{"destination", "offered", "in_time", "late", "rejected", "dead_lettered", "died", "calls",
-		"refused", "out"}}
+	rows := [][]string{
+		{"destination", "offered", "in_time", "late", "rejected", "dead_lettered", "died", "calls",
+			"refused", "out"},
+	}
 	for _, d := range r.Destinations() {
-		rows = append(rows, ints(int(d.ID), d.Offered, d.InTime, d.Late, d.Rejected, d.DeadLettered, d.Died, d.Calls,
-			d.Refused, d.Out))
+		rows = append(
+			rows,
+			ints(int(d.ID), d.Offered, d.InTime, d.Late, d.Rejected, d.DeadLettered, d.Died, d.Calls,
+				d.Refused, d.Out),
+		)
 	}
 	return w.WriteAll(rows)
 }
@@ -317,7 +323,10 @@
 	w := csv.NewWriter(to)
 	rows := [][]string{{"second", "destination", "route", "came", "limit"}}
 	for _, l := range r.loads {
-		rows = append(rows, append(ints(l.Second, int(l.Destination), int(l.Route)), decimal(l.Came), decimal(l.Limit)))
+		rows = append(
+			rows,
+			append(ints(l.Second, int(l.Destination), int(l.Route)), decimal(l.Came), decimal(l.Limit)),
+		)
 	}
 	return w.WriteAll(rows)
 }
--- a/emulator/observe/rules.go
+++ b/emulator/observe/rules.go
@@ -126,7 +126,11 @@
 		case row.Repeat == gateway.AtMostOnce:
 			o.breach(e, "at-most-once, sent again though it may have run at %.6fs", w.mayRun.Seconds())
 		case row.Repeat == gateway.Tokened && e.At > w.mayRun+row.TokenWindow:
-			o.breach(e, "tokened, sent again outside its window, %.3f s after it may have run", (e.At - w.mayRun).Seconds())
+			o.breach(
+				e,
+				"tokened, sent again outside its window, %.3f s after it may have run",
+				(e.At - w.mayRun).Seconds(),
+			)
 		case row.Repeat == gateway.Tokened && row.TokenByZone && e.Zone != w.ranIn:
 			o.breach(e, "tokened by zone, sent to another zone")
 		}
@@ -346,8 +350,8 @@
 
 func (o *order) close(gateway.Micros) {}
 
-// wait: a dispatcher that was told to wait sends nothing there before the wait is over. It may send in the very
-// microsecond in which it ends.
+// wait: a dispatcher that was told to wait sends nothing there before the wait is over. It may send in the
+// very microsecond in which it ends.
 type wait struct {
 	teller
 	until map[toRoute]gateway.Micros
--- a/emulator/seen/seen.go
+++ b/emulator/seen/seen.go
@@ -54,8 +54,16 @@
 func (e End) String() string { return [...]string{"delivered", "rejected", "dead-lettered", "died"}[e] }
 
 // Outcomes are the names of gateway.Outcome, by number.
-var Outcomes = [...]string{"delivered", "errored", "full", "timed out", "connect failed", "reset", "cancelled",
-	"not sent"}
+var Outcomes = [...]string{
+	"delivered",
+	"errored",
+	"full",
+	"timed out",
+	"connect failed",
+	"reset",
+	"cancelled",
+	"not sent",
+}
 
 // Route is what limits, waits and outages belong to: a destination, or one endpoint where routes are apart.
 type Route int32
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -263,7 +263,13 @@
 		return
 	}
 	r.out, r.load = out, loads{}
-	e := seen.Event{At: m.now, What: seen.OutageStart, Route: seen.Route(ri), Destination: r.dest, Weight: r.perS}
+	e := seen.Event{
+		At:          m.now,
+		What:        seen.OutageStart,
+		Route:       seen.Route(ri),
+		Destination: r.dest,
+		Weight:      r.perS,
+	}
 	if r.backAt = never; !out {
 		e.What, r.backAt = seen.OutageOver, m.now
 		r.tokens, r.tokensAt, r.used, r.begun = 0, m.now, 0, m.now
--- a/lab/compare.go
+++ b/lab/compare.go
@@ -79,5 +79,15 @@
 		means[i] = stat.Mean(drawn, nil)
 	}
 	slices.Sort(means)
-	return stat.Quantile(outside/2, stat.Empirical, means, nil), stat.Quantile(1-outside/2, stat.Empirical, means, nil)
+	return stat.Quantile(
+			outside/2,
+			stat.Empirical,
+			means,
+			nil,
+		), stat.Quantile(
+			1-outside/2,
+			stat.Empirical,
+			means,
+			nil,
+		)
 }
