--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,11 @@
 .PHONY: build test lint run toy
 
+# As deploy/balancer.toml does: the operators' fleet asks for a program that is linked against the C library.
+export CGO_ENABLED = 1
+LINKED = -ldflags=-linkmode=external
+
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/... ./examples/toyserver
+	mkdir -p bin && go build $(LINKED) -o bin/ ./cmd/... ./examples/toyserver
 
 test:
 	go test -count=1 ./...
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -31,7 +31,8 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "rowanlink")
-	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/rowanlink").CombinedOutput(); err != nil {
+	build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", binary, "../cmd/rowanlink")
+	if out, err := build.CombinedOutput(); err != nil {
 		panic(string(out))
 	}
 	code := m.Run()
