A call whose connection comes up past its token window is not made

The logs could not tell a webhook's course; ROWANLINK_LOG=debug now has it logged, off by default.

The second attempt was decided 4.03 s after the first, inside the window of 5 s. With 300 dispatchers some always connect at that moment.

At fault: connectAndCall in node/endpoints, which looked at drains and waits again after connecting, not at the window, and did not bound the connect by it; the module (send in control) did not say how late a call may begin. Attempt now tells it, and both hold.

The test fails without the look after connecting.

--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -315,7 +315,7 @@
 // Now is the batch's clock.
 func (in *instance) Now() gateway.Micros { return micros(in.s.clock) }
 
-func (in *instance) Attempt(id gateway.WebhookID, ep gateway.EndpointID, patience gateway.Micros) {
+func (in *instance) Attempt(id gateway.WebhookID, ep gateway.EndpointID, patience, _ gateway.Micros) {
 	in.act(actAttempt, 16)
 	in.u32(uint32(id))
 	in.u32(uint32(ep))
--- a/cmd/rowanlink/main.go
+++ b/cmd/rowanlink/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"log"
 	"log/slog"
 	"net"
 	"os"
@@ -44,6 +45,10 @@
 }
 
 func run() error {
+	if os.Getenv("ROWANLINK_LOG") == "debug" { // each webhook's course
+		slog.SetLogLoggerLevel(slog.LevelDebug)
+		log.SetFlags(log.LstdFlags | log.Lmicroseconds)
+	}
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP) // from the first: uncaught, it would end the process
 	told, err := configuration(os.Getenv("LB_CONFIG"))
--- a/control/control.go
+++ b/control/control.go
@@ -448,7 +448,7 @@
 	w.sentAt, w.attempts = c.now, w.attempts+1
 	w.dequeue()
 	c.dues.Add(int64(c.now+w.evt.Target), w)
-	c.host.Attempt(w.id, e.id, c.patience(w, e))
+	c.host.Attempt(w.id, e.id, c.patience(w, e), c.lastSend(w))
 	return pass
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -87,7 +87,9 @@
 			s.came(1, gateway.Errored, 0)
 		}
 	}
-	assert.Less(t, s.h.sent[len(s.h.sent)-1].at, first+8*sec)
+	last := s.h.sent[len(s.h.sent)-1]
+	assert.Less(t, last.at, first+8*sec)
+	assert.Less(t, last.latest, first+8*sec, "however long connecting takes")
 	assert.Equal(t, []gateway.WebhookID{1}, s.h.dead)
 }
 
--- a/control/helpers_test.go
+++ b/control/helpers_test.go
@@ -10,6 +10,7 @@
 	ep       gateway.EndpointID
 	at       gateway.Micros
 	patience gateway.Micros
+	latest   gateway.Micros
 }
 
 // fakeHost writes down what the module does; the story moves its clock.
@@ -27,8 +28,8 @@
 }
 
 func (h *fakeHost) Now() gateway.Micros { return h.now }
-func (h *fakeHost) Attempt(id gateway.WebhookID, ep gateway.EndpointID, patience gateway.Micros) {
-	h.sent = append(h.sent, sent{id, ep, h.now, patience})
+func (h *fakeHost) Attempt(id gateway.WebhookID, ep gateway.EndpointID, patience, latest gateway.Micros) {
+	h.sent = append(h.sent, sent{id, ep, h.now, patience, latest})
 }
 func (h *fakeHost) Cancel(id gateway.WebhookID, attempt int) {
 	h.cancelled = append(h.cancelled, id)
--- a/emulator/dispatcher.go
+++ b/emulator/dispatcher.go
@@ -292,7 +292,7 @@
 func (d *dispatcher) Now() gateway.Micros { return d.m.now }
 
 // Attempt makes a delivery attempt, alone or in a call of this turn to the same endpoint that has room.
-func (d *dispatcher) Attempt(id gateway.WebhookID, ep gateway.EndpointID, patience gateway.Micros) {
+func (d *dispatcher) Attempt(id gateway.WebhookID, ep gateway.EndpointID, patience, _ gateway.Micros) {
 	m, h, i := d.m, d.held[id], indexOf(ep)
 	if h == nil || h.call >= 0 {
 		// Nothing is held under this id, or it is out already: for an observer it is an attempt all the same.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,7 +138,8 @@
 // Host is what the module acts through.
 type Host interface {
 	Now() Micros
-	Attempt(id WebhookID, ep EndpointID, patience Micros)
+	// Attempt calls an endpoint. A call that has not begun by latest, since connecting took so long, is not made.
+	Attempt(id WebhookID, ep EndpointID, patience, latest Micros)
 	Cancel(id WebhookID, attempt int)
 	Reject(id WebhookID, advised Micros)
 	DeadLetter(id WebhookID)
--- a/lab/baseline/baseline.go
+++ b/lab/baseline/baseline.go
@@ -239,7 +239,7 @@
 			w.zone = e.zone
 		}
 		p.out++
-		p.host.Attempt(w.id, e.id, (w.ttl-now)/2+1)
+		p.host.Attempt(w.id, e.id, (w.ttl-now)/2+1, w.ttl)
 		return true
 	}
 	return false
--- a/node/decider/decider.go
+++ b/node/decider/decider.go
@@ -46,9 +46,8 @@
 }
 
 type attempt struct {
-	w        *exchange.Webhook
-	ep       gateway.EndpointID
-	patience gateway.Micros
+	ep gateway.EndpointID
+	endpoints.Try
 }
 
 // New makes a decider; Begin gives it its parts, which call back to it.
@@ -80,6 +79,7 @@
 		}
 		d.held[w.ID], d.ids[w.RequestID] = w, true
 		d.x.Resumed.Add(1)
+		w.Step("resumed", 0, gateway.Micros(e.Attempts))
 		d.x.Tell(func() {
 			d.module.Resume(w.ID, w.Event, w.Tenant, w.Key, w.TTL, w.Destination, e.Attempts, e.MayRun, e.Zone)
 		})
@@ -180,7 +180,7 @@
 // act writes down what was decided, then answers, calls and tells.
 func (d *Decider) act() {
 	for _, a := range d.attempts {
-		d.journal.Call(a.w.ID, d.now, d.calls.Zone(a.ep))
+		d.journal.Call(a.Webhook.ID, d.now, d.calls.Zone(a.ep))
 	}
 	if err := d.journal.Commit(); err != nil {
 		d.unwritten(err)
@@ -220,7 +220,7 @@
 		}
 	}
 	for _, a := range d.attempts {
-		d.Outcome(a.w, a.ep, gateway.NotSent, 0, false, 0)
+		d.Outcome(a.Webhook, a.ep, gateway.NotSent, 0, false, 0)
 	}
 	d.attempts = d.attempts[:0]
 }
@@ -228,15 +228,15 @@
 // send makes the calls of this turn, those to one endpoint together, in the order decided.
 func (d *Decider) send() {
 	var eps []gateway.EndpointID
-	webhooks, patience := map[gateway.EndpointID][]*exchange.Webhook{}, map[gateway.EndpointID][]gateway.Micros{}
+	tries := map[gateway.EndpointID][]endpoints.Try{}
 	for _, a := range d.attempts {
-		if webhooks[a.ep] == nil {
+		if tries[a.ep] == nil {
 			eps = append(eps, a.ep)
 		}
-		webhooks[a.ep], patience[a.ep] = append(webhooks[a.ep], a.w), append(patience[a.ep], a.patience)
+		tries[a.ep] = append(tries[a.ep], a.Try)
 	}
 	for _, ep := range eps {
-		d.calls.Send(ep, webhooks[ep], patience[ep])
+		d.calls.Send(ep, tries[ep])
 	}
 }
 
@@ -310,9 +310,10 @@
 // Now is the time of the turn.
 func (d *Decider) Now() gateway.Micros { return d.now }
 
-func (d *Decider) Attempt(id gateway.WebhookID, ep gateway.EndpointID, patience gateway.Micros) {
+func (d *Decider) Attempt(id gateway.WebhookID, ep gateway.EndpointID, patience, latest gateway.Micros) {
 	if w := d.held[id]; w != nil {
-		d.attempts = append(d.attempts, attempt{w, ep, patience})
+		w.Step("attempt", ep, patience)
+		d.attempts = append(d.attempts, attempt{ep, endpoints.Try{Webhook: w, Patience: patience, Latest: latest}})
 	}
 }
 
@@ -332,12 +333,14 @@
 		return
 	}
 	d.x.HandedBack.Add(1)
+	w.Step("handed_back", 0, advised)
 	d.owe(w, notices.HandedBack(w.RequestID, advised))
 }
 
 func (d *Decider) DeadLetter(id gateway.WebhookID) {
 	if w := d.held[id]; w != nil {
 		d.x.GivenUp.Add(1)
+		w.Step("dead_lettered", 0, 0)
 		d.owe(w, notices.GivenUp(w.RequestID))
 	}
 }
--- a/node/endpoints/endpoints.go
+++ b/node/endpoints/endpoints.go
@@ -63,6 +63,7 @@
 	ep       *endpoint
 	webhooks []*exchange.Webhook
 	patience gateway.Micros
+	latest   gateway.Micros // it does not begin after that
 	link     *link
 	called   bool // called off
 }
@@ -127,26 +128,33 @@
 	return zone
 }
 
+// Try is one webhook's part in a call: how long its answer is waited for, and when it may begin at the latest.
+type Try struct {
+	Webhook          *exchange.Webhook
+	Patience, Latest gateway.Micros
+}
+
 // Send makes the calls for webhooks that one turn sends to one endpoint: as few as its bundles allow.
-func (s *Endpoints) Send(id gateway.EndpointID, webhooks []*exchange.Webhook, patience []gateway.Micros) {
+func (s *Endpoints) Send(id gateway.EndpointID, tries []Try) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.all[id]
 	if e == nil { // gone and forgotten: guards against a webhook that waits for an outcome for ever
-		for _, w := range webhooks {
-			s.came(w, id, gateway.NotSent, 0, false, 0)
+		for _, t := range tries {
+			s.came(t.Webhook, id, gateway.NotSent, 0, false, 0)
 		}
 		return
 	}
-	for len(webhooks) > 0 {
-		n := min(e.bundle, len(webhooks))
+	for len(tries) > 0 {
+		n := min(e.bundle, len(tries))
 		// The least patience holds for all: none may go on after its webhook was told to have timed out.
-		k := &call{ep: e, webhooks: webhooks[:n], patience: math.MaxInt64}
-		for i, w := range k.webhooks {
-			s.out[w.ID] = k
-			k.patience = min(k.patience, patience[i])
+		k := &call{ep: e, patience: math.MaxInt64, latest: math.MaxInt64}
+		for _, t := range tries[:n] {
+			s.out[t.Webhook.ID] = k
+			k.webhooks = append(k.webhooks, t.Webhook)
+			k.patience, k.latest = min(k.patience, t.Patience), min(k.latest, t.Latest)
 		}
-		webhooks, patience = webhooks[n:], patience[n:]
+		tries = tries[n:]
 		e.out++
 		s.counts.Calls.Add(1)
 		if n > 1 {
@@ -226,6 +234,7 @@
 			what, over = f.each[w.RequestID].what, f.each[w.RequestID].over
 		}
 		s.counts.Outcomes[what].Add(1)
+		w.Step(exchange.OutcomeName(what), k.ep.id, took)
 		s.came(w, k.ep.id, what, took, over, f.wait)
 	}
 }
@@ -242,7 +251,8 @@
 		if !used {
 			var err error
 			s.counts.Connections.Add(1)
-			within := max(min(s.connectTimeout, k.patience-(exchange.Now()-at)), 1)
+			now := exchange.Now()
+			within := max(min(s.connectTimeout, k.patience-(now-at), k.latest-now), 1)
 			if l, err = dial(k.ep.addr, exchange.Span(within)); err != nil {
 				s.mu.Lock()
 				s.open--
@@ -250,9 +260,11 @@
 				return fate{what: gateway.ConnectFailed}, nil
 			}
 		}
-		// Guards the rules on drains and waits: what was told while this call connected holds for its first byte.
+		// Guards the rules on drains, waits and effects: what was told while this call connected, and the time for
+		// which a token is remembered, hold for its first byte.
 		s.mu.Lock()
-		late := !k.ep.listed || exchange.Now() < s.waits[k.ep.route] || s.ended
+		now := exchange.Now()
+		late := !k.ep.listed || now < s.waits[k.ep.route] || now > k.latest || s.ended
 		k.link = l
 		called := k.called
 		s.mu.Unlock()
@@ -266,6 +278,9 @@
 		until := time.Now().Add(exchange.Span(left))
 		switch written := l.write(request(k, left), until); {
 		case written:
+			for _, w := range k.webhooks {
+				w.Step("written", k.ep.id, exchange.Now()-at)
+			}
 			f := s.answer(l, k, until)
 			if f.tooMany && !used {
 				f.what = gateway.ConnectFailed
--- a/node/endpoints/endpoints_test.go
+++ b/node/endpoints/endpoints_test.go
@@ -35,7 +35,7 @@
 	id := gateway.WebhookID(0)
 	return s, func(patience gateway.Micros) {
 		id++
-		s.Send(1, []*exchange.Webhook{{ID: id, RequestID: "a"}}, []gateway.Micros{patience})
+		s.Send(1, []Try{{&exchange.Webhook{ID: id, RequestID: "a"}, patience, exchange.Now() + patience}})
 	}, ends
 }
 
@@ -153,8 +153,9 @@
 		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 		s, _, ends := at(script(t, says(text)))
 		s.Place(gateway.Entry{Endpoint: 2, Destination: 3}, s.all[1].addr, gateway.Kind{Batch: 2})
-		s.Send(2, []*exchange.Webhook{{ID: 1, RequestID: "a"}, {ID: 2, RequestID: "b"}},
-			[]gateway.Micros{gateway.Second, gateway.Second})
+		soon := exchange.Now() + gateway.Second
+		s.Send(2, []Try{{&exchange.Webhook{ID: 1, RequestID: "a"}, gateway.Second, soon},
+			{&exchange.Webhook{ID: 2, RequestID: "b"}, gateway.Second, soon}})
 		got := map[gateway.Outcome]int{}
 		for range 2 {
 			got[(<-ends).what]++
@@ -283,6 +284,32 @@
 	assert.Equal(t, gateway.NotSent, (<-ends).what, "draining")
 }
 
+// Guards against a second effect: a tokened webhook whose connection comes up when its token is forgotten.
+func TestCallThatWouldBeginTooLateIsNotMade(t *testing.T) {
+	calls := make(chan bool, 9)
+	counted := func(c net.Conn, in *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			calls <- true
+			c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		}
+	}
+	s, send, ends := at(script(t, counted, counted))
+	late := func() gateway.Outcome {
+		s.Send(1, []Try{{&exchange.Webhook{ID: 7, RequestID: "b"}, gateway.Second, exchange.Now() - 1}})
+		return (<-ends).what
+	}
+	assert.True(t, late().NeverRan(), "on a new connection")
+	send(gateway.Second)
+	assert.Equal(t, gateway.Delivered, (<-ends).what)
+	assert.Equal(t, gateway.NotSent, late(), "on one that is idle")
+	send(gateway.Second)
+	<-ends
+	assert.Len(t, calls, 2)
+}
+
 func TestEndpointThatMovedIsCalledAtItsNewAddress(t *testing.T) {
 	s, send, ends := at(script(t, answer("200 OK")))
 	send(gateway.Second)
--- a/node/exchange/counters.go
+++ b/node/exchange/counters.go
@@ -5,6 +5,8 @@
 	"io"
 	"log/slog"
 	"sync/atomic"
+
+	"rowanlink/gateway"
 )
 
 // Counters count what is taken in, sent and answered since the start.
@@ -16,6 +18,9 @@
 	Lists, ListsBroken, Turns, JournalErrors atomic.Int64
 }
 
+// OutcomeName is an outcome as counters and logs name it.
+func OutcomeName(o gateway.Outcome) string { return outcomeNames[o] }
+
 var outcomeNames = [...]string{"delivered", "errored", "full", "timed_out", "connect_failed", "reset",
 	"cancelled", "not_sent"}
 
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -3,8 +3,10 @@
 package exchange
 
 import (
+	"context"
 	"encoding/binary"
 	"errors"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -48,6 +50,14 @@
 	answer chan answer
 }
 
+// Step logs a step of a webhook's course at debug level, so that its id can be followed through the logs of all
+// dispatchers. ep: the endpoint concerned, or 0; took: since the attempt was decided on, or since it came.
+func (w *Webhook) Step(step string, ep gateway.EndpointID, took gateway.Micros) {
+	if log := slog.Default(); log.Enabled(context.Background(), slog.LevelDebug) {
+		log.Debug("course", "webhook", w.RequestID, "step", step, "dest", w.Destination, "ep", ep, "took_us", took)
+	}
+}
+
 // Answer is what a client is told of the webhook that it handed in.
 type Answer int
 
@@ -57,6 +67,8 @@
 	Doubled                // its request id is held already
 )
 
+var answerNames = [...]string{"taken", "rejected", "doubled"}
+
 type answer struct {
 	what    Answer
 	retryIn gateway.Micros
@@ -105,7 +117,10 @@
 }
 
 // Answer answers the client that handed the webhook in.
-func (w *Webhook) Answer(what Answer, retryIn gateway.Micros) { w.answer <- answer{what, retryIn} }
+func (w *Webhook) Answer(what Answer, retryIn gateway.Micros) {
+	w.Step(answerNames[what], 0, Now()-w.CameAt)
+	w.answer <- answer{what, retryIn}
+}
 
 // Tell puts a call in that the decider makes in its next turn.
 func (x *Exchange) Tell(call func()) {
