--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,7 +138,7 @@
 // Host is what the module acts through.
 type Host interface {
 	Now() Micros
-	// Attempt calls an endpoint. A call that has not begun by latest, since connecting took so long, is not made.
+	// Attempt calls an endpoint. A call that has not begun by latest, as connecting took long, is not made.
 	Attempt(id WebhookID, ep EndpointID, patience, latest Micros)
 	Cancel(id WebhookID, attempt int)
 	Reject(id WebhookID, advised Micros)
--- a/node/endpoints/endpoints.go
+++ b/node/endpoints/endpoints.go
@@ -128,7 +128,7 @@
 	return zone
 }
 
-// Try is one webhook's part in a call: how long its answer is waited for, and when it may begin at the latest.
+// Try is one webhook's part in a call: how long its answer is waited for, and the latest that it may begin.
 type Try struct {
 	Webhook          *exchange.Webhook
 	Patience, Latest gateway.Micros
