A dispatcher asks for its list again by the design's schedule, not four times a second

After 56 of 80 dispatchers were killed at 12.8 s none of them had a list until the end, 20 s later (3,493 asks answered 503, 130 to 160 a second over the fleet, in each second alike). They went on with the list they were started with, whose endpoints a release had taken away: from 15 s on 1,049 to 1,939 failed connects each 5 s, and 68 to 80% of the webhooks rejected. At fault: the fixed pause of linePeriod/8 in Follow (node/registry), the same for all and for ever. Change: asking/, a pure package: the design's schedule (control.Wait, taken out of delay) with m of two line periods, which lies within the three after which the protocol takes a change as told; by each dispatcher's seed.

--- a/cmd/rowanlink/main.go
+++ b/cmd/rowanlink/main.go
@@ -90,7 +90,8 @@
 	for _, t := range known.EventTypes {
 		longest = max(longest, t.TTL)
 	}
-	list := registry.New(told.Get("discovery").String(), names, 2*longest, d.Listed, func() { x.ListsBroken.Add(1) })
+	list := registry.New(told.Get("discovery").String(), names, seed, 2*longest, d.Listed,
+		func() { x.ListsBroken.Add(1) })
 	if err := list.Take(told.Get("known")); err != nil {
 		slog.Warn("no known list", "why", err)
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -79,7 +79,6 @@
 			tightest = min(tightest, t.TokenWindow)
 		}
 		row.cap = capShare * tightest.Seconds()
-		row.early = int(math.Floor(2 * math.Log2(max(row.cap, 0.5))))
 		row.reach = max(gateway.Micros(patienceBy*float64(tightest)), 1)
 		c.events = append(c.events, row)
 	}
@@ -550,13 +549,17 @@
 	c.enqueue(w)
 }
 
-// delay is the design's schedule: min(m, random()*2^i) while i <= 2*log2(m), then evenly 80-100% of m. Past
-// that i the power is never taken, so that no number of retries overflows.
+// delay draws an event type's wait before its retry i.
 func (c *Control) delay(evt *eventRow, i int) gateway.Micros {
-	x := c.chance.Float()
-	s := evt.cap * (lateFrom + (1-lateFrom)*x)
-	if i <= evt.early {
-		s = min(evt.cap, x*math.Pow(2, float64(i)))
+	return Wait(evt.cap, i, c.chance.Float())
+}
+
+// Wait is the design's schedule: min(m, random()*2^i) while i <= 2*log2(m), then evenly 80-100% of m. Past
+// that i the power is never taken, so that no number of retries overflows. m is in seconds, x from [0, 1).
+func Wait(m float64, i int, x float64) gateway.Micros {
+	s := m * (lateFrom + (1-lateFrom)*x)
+	if i <= int(math.Floor(2*math.Log2(max(m, 0.5)))) {
+		s = min(m, x*math.Pow(2, float64(i)))
 	}
 	return gateway.Micros(math.Ceil(s * float64(gateway.Second)))
 }
--- a/control/state.go
+++ b/control/state.go
@@ -45,7 +45,6 @@
 type eventRow struct {
 	gateway.EventType
 	cap   float64        // m, in seconds
-	early int            // last retry of the early band
 	reach gateway.Micros // longest patience
 }
 
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -17,6 +17,7 @@
 	"github.com/tidwall/gjson"
 	"github.com/valyala/fasthttp"
 
+	"rowanlink/asking"
 	"rowanlink/gateway"
 	"rowanlink/internal/facts"
 	"rowanlink/node/exchange"
@@ -26,7 +27,6 @@
 const (
 	linePeriod = 2 * time.Second
 	deadAfter  = linePeriod * 3 / 2
-	pause      = linePeriod / 8 // between two watches
 	mostLine   = 16 << 20
 )
 
@@ -38,6 +38,7 @@
 	names      facts.Names
 	listed     Listed
 	broken     func()
+	asks       *asking.Asking
 	generation int64
 	ids        map[string]*named
 	last       gateway.EndpointID
@@ -55,9 +56,12 @@
 }
 
 // New makes a watch of the registry at an address; broken is called for each object that can't be read. A
-// gone endpoint's name is kept for as long as anything of it may still be out or waited for.
-func New(addr string, names facts.Names, keepFor gateway.Micros, listed Listed, broken func()) *Registry {
+// gone endpoint's name is kept for as long as anything of it may still be out or waited for. By their seeds
+// dispatchers that lost their watches together ask again apart.
+func New(addr string, names facts.Names, seed uint64, keepFor gateway.Micros, listed Listed,
+	broken func()) *Registry {
 	return &Registry{addr: addr, names: names, listed: listed, broken: broken,
+		asks:    asking.New(seed, gateway.Micros(linePeriod.Microseconds())),
 		keepFor: exchange.Span(keepFor), ids: map[string]*named{}, moved: make(chan struct{})}
 }
 
@@ -166,7 +170,7 @@
 		end()
 		select {
 		case <-moved:
-		case <-time.After(pause):
+		case <-time.After(exchange.Span(r.asks.Next())):
 		}
 	}
 }
@@ -212,6 +216,7 @@
 			slog.Warn("list not read", "why", err)
 			return err
 		}
+		r.asks.Heard()
 	}
 	if err := lines.Err(); err != nil {
 		return err
