The first ask for the list waits too, as each that follows the end of a watch

After the mass kill at 12.8 s 56 start together: 25 are served within 2 s, 36 answered 503 at 16 s, all at once, and none is served until 26 s. At fault: the first watch in Follow (node/registry), made at once by each dispatcher; the same after a SIGHUP. Change: Follow draws a wait before each ask; what it draws is decided in asking/, which the registry is handed.

--- a/cmd/rowanlink/main.go
+++ b/cmd/rowanlink/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"rowanlink/asking"
 	"rowanlink/control"
 	"rowanlink/gateway"
 	"rowanlink/internal/facts"
@@ -90,7 +91,8 @@
 	for _, t := range known.EventTypes {
 		longest = max(longest, t.TTL)
 	}
-	list := registry.New(told.Get("discovery").String(), names, seed, 2*longest, d.Listed,
+	list := registry.New(told.Get("discovery").String(), names,
+		asking.New(seed, gateway.Micros(registry.LinePeriod.Microseconds())), 2*longest, d.Listed,
 		func() { x.ListsBroken.Add(1) })
 	if err := list.Take(told.Get("known")); err != nil {
 		slog.Warn("no known list", "why", err)
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -17,28 +17,34 @@
 	"github.com/tidwall/gjson"
 	"github.com/valyala/fasthttp"
 
-	"rowanlink/asking"
 	"rowanlink/gateway"
 	"rowanlink/internal/facts"
 	"rowanlink/node/exchange"
 )
 
-// The protocol sends an empty line every 2 s as long as nothing changes.
+// LinePeriod is the protocol's: an empty line comes so often as long as nothing changes.
+const LinePeriod = 2 * time.Second
+
 const (
-	linePeriod = 2 * time.Second
-	deadAfter  = linePeriod * 3 / 2
-	mostLine   = 16 << 20
+	deadAfter = LinePeriod * 3 / 2
+	mostLine  = 16 << 20
 )
 
 // Listed is told a list, with the address of each of its entries; whole: what is not in it is gone.
 type Listed func(entries []gateway.Entry, addrs []string, whole bool)
 
+// Asks decides how long to wait before each ask, in µs, and is told of each that brought a list.
+type Asks interface {
+	Next() gateway.Micros
+	Heard()
+}
+
 // Registry is one dispatcher's watch.
 type Registry struct {
 	names      facts.Names
 	listed     Listed
 	broken     func()
-	asks       *asking.Asking
+	asks       Asks
 	generation int64
 	ids        map[string]*named
 	last       gateway.EndpointID
@@ -56,16 +62,14 @@
 }
 
 // New makes a watch of the registry at an address; broken is called for each object that can't be read. A
-// gone endpoint's name is kept for as long as anything of it may still be out or waited for. By their seeds
-// dispatchers that lost their watches together ask again apart.
-func New(addr string, names facts.Names, seed uint64, keepFor gateway.Micros, listed Listed,
+// gone endpoint's name is kept for as long as anything of it may still be out or waited for.
+func New(addr string, names facts.Names, asks Asks, keepFor gateway.Micros, listed Listed,
 	broken func()) *Registry {
-	return &Registry{addr: addr, names: names, listed: listed, broken: broken,
-		asks:    asking.New(seed, gateway.Micros(linePeriod.Microseconds())),
+	return &Registry{addr: addr, names: names, asks: asks, listed: listed, broken: broken,
 		keepFor: exchange.Span(keepFor), ids: map[string]*named{}, moved: make(chan struct{})}
 }
 
-// Move ends the watch, also one that still connects, and starts the next at another address at once.
+// Move ends the watch, also one that still connects; the next one is at another address.
 func (r *Registry) Move(addr string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -153,10 +157,17 @@
 }
 
 // Follow watches until the process ends. A watch lasts until its connection ends, or has been silent for
-// longer than it may be.
+// longer than it may be. None begins at once, nor does the first: a fleet starts, loses its watches and is moved
+// together.
 func (r *Registry) Follow() {
 	for {
 		addr, moved := r.place()
+		select {
+		case <-moved: // it was the old address that failed
+			r.asks.Heard()
+			continue
+		case <-time.After(exchange.Span(r.asks.Next())):
+		}
 		ctx, end := context.WithCancel(context.Background())
 		go func() {
 			select {
@@ -165,13 +176,8 @@
 			case <-ctx.Done():
 			}
 		}()
-		err := r.watch(ctx, addr)
-		slog.Debug("watch ended", "why", err)
+		slog.Debug("watch ended", "why", r.watch(ctx, addr))
 		end()
-		select {
-		case <-moved:
-		case <-time.After(exchange.Span(r.asks.Next())):
-		}
 	}
 }
 
