At a kind short of connections an idle one is closed as soon as its call ends

Ruled out: endpoints that are gone (those were never written), refusals above limits (9 to 63 each 5 s). At fault: hangUp, called only from the half-second look at idle connections in Wake: each of 80 dispatchers holds a place for a quarter of a second after a call of an eighth, so that half of an endpoint's few places rest. Change: it is called for each endpoint whose call ended, when the turn is over and nothing followed there. The periodic look stays for what was idle before its kind was found short. Acts only where it did: a fleet larger than what the stated rate keeps busy.

--- a/control/control.go
+++ b/control/control.go
@@ -264,6 +264,10 @@
 	for _, d := range c.busy {
 		d.prune() // now, so that one sent and back before the next turn does not stand here twice
 	}
+	for _, e := range c.rested {
+		c.hangUp(e)
+	}
+	c.rested = c.rested[:0]
 	c.shed()
 	c.busy = slices.DeleteFunc(c.busy, func(d *destination) bool {
 		d.busy = len(d.queue) > 0
@@ -506,6 +510,7 @@
 		c.out--
 		k.ep.out--
 		r.out--
+		c.rested = append(c.rested, k.ep)
 		if k.sick {
 			c.sickOut--
 		}
@@ -524,15 +529,16 @@
 	c.retry(w)
 }
 
-// hangUp closes idle connections that keep other dispatchers out: endpoints of a kind where one was missed of
-// late may take few, the whole fleet's counted. Not where the calls at the stated rate need one for each.
-func (c *Control) hangUp(e *endpoint) {
+// hangUp closes idle connections that keep other dispatchers out, as soon as a call ends with none to follow:
+// endpoints of a kind where one was missed of late may take few, the whole fleet's counted, and hundreds that rest for
+// half a second fill them. Not where the calls at the stated rate need one for each.
+func (c *Control) hangUp(e *endpoint) (closed bool) {
 	atOnce := e.route.stated * e.route.mean / float64(gateway.Second) * float64(c.Fleet)
 	few := max(connsBy*atOnce/float64(len(e.dest.endpoints)), connsLeast) < float64(c.Fleet)
-	if few && e.listed && c.now < e.dest.kind.crowded && e.out == 0 {
-		e.linked = false
+	if closed = few && e.listed && c.now < e.dest.kind.crowded && e.out == 0; closed {
 		c.host.CloseIdle(e.id)
 	}
+	return closed
 }
 
 // retry draws the wait before the next attempt, or ends a webhook that may not have one.
@@ -714,7 +720,7 @@
 		c.rank(d)
 	}
 	c.linked = slices.DeleteFunc(c.linked, func(e *endpoint) bool {
-		c.hangUp(e)
+		e.linked = !c.hangUp(e)
 		return !e.linked
 	})
 	// Guards against keeping all who ever were: order keys at rest, and endpoints that left the list long ago.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -348,6 +348,13 @@
 		s.came(2, gateway.ConnectFailed, 0) // at another destination of the kind
 		s.run(sec)
 		assert.Equal(t, fleet == 200, len(s.h.closed) > 0)
+		// From now on none rests, not even until the next look: of hundreds that would always be many.
+		s.h.closed = nil
+		s.take(3, 0, 0)
+		s.TurnOver()
+		assert.Empty(t, s.h.closed)
+		s.came(3, gateway.Delivered, 0)
+		assert.Equal(t, fleet == 200, len(s.h.closed) > 0)
 	}
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -26,6 +26,7 @@
 	dests     map[gateway.DestinationID]*destination
 	order     []*destination // all of them, as first heard of
 	busy      []*destination // those with a queue
+	rested    []*endpoint    // those whose call ended in this turn
 	linked    []*endpoint    // those that may have idle connections
 	left      []*endpoint    // those off the list, not yet forgotten
 	endpoints map[gateway.EndpointID]*endpoint
