A connection turned away is an outcome of its own, no longer an outage where calls are rare

At fault: the end of judge (c.now-r.okAt > c.TipAfter), reached because endpoints answered ConnectFailed for tooMany. Change: Crowded, which never ran. It marks the kind, bounds the endpoint's calls by those out and empties the bucket; six in a row with nothing delivered for the tipping time count as shut, which is what the protocol's shut destinations may answer, too.

--- a/control/control.go
+++ b/control/control.go
@@ -643,6 +643,14 @@
 			c.sicken(r)
 		}
 	case gateway.NotSent:
+	case gateway.Crowded:
+		// It runs, so that nothing is cold; only where nothing else comes for long may this be how it is shut.
+		e.dest.kind.crowded = c.now + crowdedFor*c.WarmAfter
+		e.limit = float64(max(e.out-1, 1))
+		r.tokens = min(r.tokens, 0)
+		if r.refused++; r.refused >= fullRow && c.now-r.okAt > c.TipAfter {
+			c.sicken(r)
+		}
 	default:
 		if what == gateway.ConnectFailed {
 			e.dest.kind.crowded = c.now + crowdedFor*c.WarmAfter
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,10 +39,13 @@
 	Reset                 // the connection broke while the attempt was out
 	Cancelled             // called off by this dispatcher
 	NotSent               // never left: no slot, too late, or too many attempts
+	Crowded               // the endpoint takes no further connection, and said so
 )
 
 // NeverRan tells whether the outcome proves that the attempt took no effect.
-func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o == NotSent }
+func (o Outcome) NeverRan() bool {
+	return o == Full || o == ConnectFailed || o == NotSent || o == Crowded
+}
 
 // MayStillRun tells whether the work may go on at the destination after the outcome.
 func (o Outcome) MayStillRun() bool { return o == TimedOut || o == Reset || o == Cancelled }
--- a/node/endpoints/endpoints.go
+++ b/node/endpoints/endpoints.go
@@ -283,7 +283,7 @@
 			}
 			f := s.answer(l, k, until)
 			if f.tooMany && !used {
-				f.what = gateway.ConnectFailed
+				f.what = gateway.Crowded
 			}
 			return f, l
 		case !used || !time.Now().Before(until):
--- a/node/exchange/counters.go
+++ b/node/exchange/counters.go
@@ -13,7 +13,7 @@
 type Counters struct {
 	Accepted, Rejected, Malformed, Resumed   atomic.Int64 // webhooks, by the answer to their client
 	Calls, Bundled, Connections              atomic.Int64 // out; webhooks that shared one; opened
-	Outcomes                                 [8]atomic.Int64
+	Outcomes                                 [9]atomic.Int64
 	GivenUp, HandedBack, Over, Told, Untold  atomic.Int64 // ends by notice; notices heard, and tries not heard
 	Lists, ListsBroken, Turns, JournalErrors atomic.Int64
 }
@@ -22,7 +22,7 @@
 func OutcomeName(o gateway.Outcome) string { return outcomeNames[o] }
 
 var outcomeNames = [...]string{"delivered", "errored", "full", "timed_out", "connect_failed", "reset",
-	"cancelled", "not_sent"}
+	"cancelled", "not_sent", "crowded"}
 
 // each calls back for every counter with its name.
 func (c *Counters) each(f func(name string, n int64)) {
