The emulator's endpoints may tell that they take no further connection

places_told: one too many is answered so, an outcome of its own, in place of being refused. The story fails where the module takes the answer for an outage.

--- a/emulator/calls.go
+++ b/emulator/calls.go
@@ -142,8 +142,14 @@
 	switch {
 	case s.down > 0 && s.silent > 0:
 		m.answerIn(n, gateway.ConnectFailed, 0, max(m.plan.Dispatchers.ConnectTimeout.us()-(m.now-k.sentAt), 0))
-	case s.down > 0 || places > 0 && s.conns >= places:
+	case s.down > 0:
 		m.answer(n, gateway.ConnectFailed, 0)
+	case places > 0 && s.conns >= places:
+		what := gateway.ConnectFailed
+		if m.dests[m.endpoints[k.ep].dest].kind.PlacesTold {
+			what = gateway.Crowded
+		}
+		m.answer(n, what, 0)
 	default:
 		s.conns++
 		k.linked, k.epoch, k.at = true, s.epoch, callOut
--- a/emulator/fleet_test.go
+++ b/emulator/fleet_test.go
@@ -63,20 +63,26 @@
 	}
 }
 
-// A place that rests after a call keeps a call of another dispatcher out.
+// A place that rests after a call keeps a call of another dispatcher out, whether that one is told so or refused.
 func TestAFleetSharesFewPlaces(t *testing.T) {
-	s := fleet()
-	s.Kinds[0].Places, s.Kinds[0].Headroom = 8, 3
-	w, events, sum := play(t, s, module, seen.Heard)
-	assert.Empty(t, w.Broken, texts(w.Breaches))
-	failed := 0
-	for _, e := range events {
-		if e.Outcome == gateway.ConnectFailed {
-			failed++
+	for _, told := range []bool{false, true} {
+		s := fleet()
+		s.Kinds[0].Places, s.Kinds[0].PlacesTold, s.Kinds[0].Headroom = 8, told, 3
+		w, events, sum := play(t, s, module, seen.Heard)
+		assert.Empty(t, w.Broken, texts(w.Breaches))
+		outcomes := map[gateway.Outcome]int{}
+		for _, e := range events {
+			outcomes[e.Outcome]++
+		}
+		failed := outcomes[gateway.ConnectFailed] + outcomes[gateway.Crowded]
+		assert.Equal(t, told, outcomes[gateway.Crowded] > 0)
+		assert.Less(t, failed, len(events)/3, "calls that found no place")
+		least := 0.93
+		if told { // and no place is taken for an outage
+			least = 0.97
 		}
+		assert.Greater(t, sum.Value, least)
 	}
-	assert.Less(t, failed, len(events)/3, "calls that found no place")
-	assert.Greater(t, sum.Value, 0.93)
 }
 
 func TestALoweredLimitHoldsForItsTimeAndItsDestinations(t *testing.T) {
--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -150,11 +150,12 @@
 	Spread        float64 `toml:"spread"`    // its standard deviation over the mean
 	Limit         string  `toml:"limit"`     // rate, window or none
 	Window        Span    `toml:"window,omitempty"`
-	Headroom      float64 `toml:"headroom"` // limit over the traffic that is meant for it
-	Least         float64 `toml:"least"`    // limit at the least, calls a second
-	Spare         float64 `toml:"spare"`    // what it could serve over its limit
-	Queue         Span    `toml:"queue"`    // places to wait, as time of its limit
-	Places        int     `toml:"places"`   // connections that an endpoint takes, idle ones counted; 0: any
+	Headroom      float64 `toml:"headroom"`    // limit over the traffic that is meant for it
+	Least         float64 `toml:"least"`       // limit at the least, calls a second
+	Spare         float64 `toml:"spare"`       // what it could serve over its limit
+	Queue         Span    `toml:"queue"`       // places to wait, as time of its limit
+	Places        int     `toml:"places"`      // connections that an endpoint takes, idle ones counted; 0: any
+	PlacesTold    bool    `toml:"places_told"` // one too many is answered so, not refused
 	CountsRefused bool    `toml:"counts_refused"`
 	TellsWait     float64 `toml:"tells_wait"` // share of refusals that tell a wait
 	Wait          []Span  `toml:"wait"`
