--- a/asking/asking_test.go
+++ b/asking/asking_test.go
@@ -9,8 +9,8 @@
 	"rowanlink/gateway"
 )
 
-// Each dispatcher alone may ask four times a second; where all of a fleet do, refusing them is all that discovery
-// comes to.
+// Each dispatcher alone may ask four times a second; where all of a fleet do, refusing them is all that
+// discovery comes to.
 func TestAFleetThatLostItsListsHasThemAgainFromADiscoveryThatAsksKeepBusy(t *testing.T) {
 	const fleet, serving, refusing, until = 80, gateway.Second / 10, gateway.Second / 40, 60 * gateway.Second
 	var asks []*Asking
--- a/control/control.go
+++ b/control/control.go
@@ -530,8 +530,8 @@
 }
 
 // hangUp closes idle connections that keep other dispatchers out, as soon as a call ends with none to follow:
-// endpoints of a kind where one was missed of late may take few, the whole fleet's counted, and hundreds that rest for
-// half a second fill them. Not where the calls at the stated rate need one for each.
+// endpoints of a kind where one was missed of late may take few, the whole fleet's counted, and hundreds that
+// rest for half a second fill them. Not where the calls at the stated rate need one for each.
 func (c *Control) hangUp(e *endpoint) (closed bool) {
 	atOnce := e.route.stated * e.route.mean / float64(gateway.Second) * float64(c.Fleet)
 	few := max(connsBy*atOnce/float64(len(e.dest.endpoints)), connsLeast) < float64(c.Fleet)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -335,7 +335,7 @@
 	return s
 }
 
-// With a call every few seconds nothing was delivered of late: a connection too many looked like an outage there.
+// With a call every few seconds nothing was delivered of late: a connection too many passed for an outage.
 func TestAConnectionTurnedAwayIsNoOutageWhereCallsAreRare(t *testing.T) {
 	s := begin(plainFacts(), 0)
 	r := s.dests[0].shared
@@ -350,7 +350,7 @@
 		s.run(4 * sec)
 	}
 	assert.False(t, r.sick)
-	for id := range gateway.WebhookID(4 * fullRow) { // nothing else for long: it may be shut, and comes back cold
+	for id := range gateway.WebhookID(4 * fullRow) { // nothing else for long: it may be shut
 		s.take(100+id, 0, 0)
 		s.TurnOver()
 		s.all(always(gateway.Crowded))
--- a/emulator/fleet_test.go
+++ b/emulator/fleet_test.go
@@ -28,8 +28,8 @@
 	return all
 }
 
-// Each is harmless to one dispatcher. Rules are kept, each webhook has its end, nothing is pushed over, and what
-// is delivered is worth a stated part of all.
+// Each is harmless to one dispatcher. Rules are kept, each webhook has its end, nothing is pushed over,
+// and what is delivered is worth a stated part of all.
 func TestAFleetsHardDays(t *testing.T) {
 	lowered := emulator.Trouble{Kind: "limit", At: 6 * sec, For: 9 * sec, Busiest: 3, Size: 1.0 / 3}
 	down := emulator.Trouble{Kind: "down", At: 6 * sec, For: 5 * sec, Busiest: 2}
@@ -65,7 +65,7 @@
 	}
 }
 
-// A place that rests after a call keeps a call of another dispatcher out, whether that one is told so or refused.
+// A place that rests after a call keeps another dispatcher's call out, be that one told so or refused.
 func TestAFleetSharesFewPlaces(t *testing.T) {
 	for _, told := range []bool{false, true} {
 		s := fleet()
--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -182,7 +182,7 @@
 	// And among dispatchers.
 	Dispatchers []int `toml:"dispatchers,omitempty"`
 
-	Size    float64 `toml:"size,omitempty"`    // slow, burst: factor; errors, resets, lost, hot: share; limit: share left
+	Size    float64 `toml:"size,omitempty"`    // slow, burst: factor; the others: share; limit: what is left
 	Every   Span    `toml:"every,omitempty"`   // flap: down for half of it, up for the other half
 	Drain   Span    `toml:"drain,omitempty"`   // replace: from draining to gone
 	Delay   Span    `toml:"delay,omitempty"`   // list_late: so much longer until they hear of a change
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -157,8 +157,8 @@
 }
 
 // Follow watches until the process ends. A watch lasts until its connection ends, or has been silent for
-// longer than it may be. None begins at once, nor does the first: a fleet starts, loses its watches and is moved
-// together.
+// longer than it may be. None begins at once, nor does the first: a fleet starts, loses its watches and is
+// moved together.
 func (r *Registry) Follow() {
 	for {
 		addr, moved := r.place()
