Load reports reach the module; a quick failed connect is a cap where the port can't tell

Now x1 of reports states the rate (until one came: the slots over all destinations), and a connect that fails within half the time-out is Crowded where the port does not tell caps apart (sockets do).

--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -93,6 +93,8 @@
 	inTurn bool
 	dead   bool   // killed, or its module panicked
 	killed bool   // what it did in this batch must not reach its next life
+	left   int    // places in a load report, or -1
+	limit  int
 	acts   []byte // its actions in this batch
 	count  uint32
 }
@@ -149,6 +151,7 @@
 		}
 		s.close(who)
 		in := &instance{s: s, who: who}
+		in.left, in.limit = facts.Reports(text)
 		s.instances[who] = in
 		s.turn(in)
 		in.guard(func() { in.module = s.start(known, in) })
@@ -205,7 +208,7 @@
 		f.skip(1)
 		ep, what, took := gateway.EndpointID(f.u32()), f.u16(), micros(f.u64())
 		ended, note := f.u8() != 0, f.u32()
-		f.skip(4 * int(f.u8()))
+		tell := in.report(f, ep)
 		if !f.bad && int(what) >= len(outcomes) {
 			return nil, fmt.Errorf("outcome %d is unknown", what)
 		}
@@ -213,7 +216,10 @@
 		if !f.bad && outcomes[what] == gateway.Full {
 			wait = gateway.Micros(note) * 1000
 		}
-		call = func() { in.module.Outcome(id, ep, outcomes[what], took, ended, wait) }
+		call = func() {
+			tell()
+			in.module.Outcome(id, ep, outcomes[what], took, ended, wait)
+		}
 	case evVanished:
 		id := gateway.WebhookID(f.u32())
 		call = func() { in.module.Withdrawn(id) }
@@ -235,6 +241,18 @@
 	return call, nil
 }
 
+// report reads a load report and returns the call that tells of it; one that is absent or short tells nothing.
+func (in *instance) report(f *fields, ep gateway.EndpointID) (tell func()) {
+	values := make([]float64, f.u8())
+	for i := range values {
+		values[i] = float64(f.f32())
+	}
+	if in.left < 0 || in.limit < 0 || max(in.left, in.limit) >= len(values) {
+		return func() {}
+	}
+	return func() { in.module.Reported(ep, values[in.left], values[in.limit]) }
+}
+
 // define keeps a list under its number until another takes it.
 func (s *server) define(f *fields) error {
 	ref, n := f.u16(), f.u32()
--- a/cmd/rowanlink/main.go
+++ b/cmd/rowanlink/main.go
@@ -64,6 +64,7 @@
 	if err != nil {
 		return err
 	}
+	known.CapsTold = true // the protocol's answer for it has an outcome of its own
 	limit := func(name string, otherwise float64) float64 {
 		if v := told.Get("limits." + name).Float(); v > 0 {
 			return v
--- a/control/control.go
+++ b/control/control.go
@@ -122,7 +122,7 @@
 			c.left = append(c.left, e) // never listed here: it is forgotten like one that was
 		}
 		r, part := e.route, l.Rate/float64(c.Fleet)
-		if !c.RatesStated || !(part > 0) || math.IsInf(part, 0) {
+		if !c.RatesStated || !(part > 0) || math.IsInf(part, 0) || r != nil && r.told {
 			continue
 		}
 		if r == nil {
@@ -142,9 +142,26 @@
 	}
 }
 
-// newRoute takes the slots of the whole fleet, each used once a second, for a rate until one is stated.
+// Reported takes a destination's limit as it tells it: it stands in for a rate that no list states, or a rough one.
+func (c *Control) Reported(ep gateway.EndpointID, _, limit float64) {
+	e, part := c.endpoints[ep], limit/float64(c.Fleet)
+	if e == nil || e.route == nil || !(part > 0) || math.IsInf(part, 0) {
+		return
+	}
+	if r := e.route; !r.told {
+		r.told, r.stated, r.pace = true, part, part
+	} else {
+		r.stated += smooth * (part - r.stated)
+	}
+}
+
+// newRoute takes, until a rate is stated or told, that the slots are each used once a second; where no list states
+// any, over all destinations alike.
 func (c *Control) newRoute(name gateway.EndpointID) *route {
 	perS := float64(c.Slots)
+	if !c.RatesStated {
+		perS /= float64(max(len(c.order), 1))
+	}
 	return &route{name: name, window: 1, stated: perS, pace: perS, tokens: 1, tokensAt: c.now, coldSince: never}
 }
 
@@ -606,6 +623,11 @@
 func (c *Control) judge(e *endpoint, what gateway.Outcome, took, wait gateway.Micros) {
 	r := e.route
 	r.heardAt, r.wakeAt = c.now, 0
+	// Guards against a cap taken for an outage where the port can't tell them apart: a silent endpoint takes the whole
+	// time-out. One that crashed refuses as quickly; it is found as one that is crowded for long.
+	if what == gateway.ConnectFailed && !c.CapsTold && took < c.ConnectTimeout/2 {
+		what = gateway.Crowded
+	}
 	switch what {
 	case gateway.Delivered:
 		e.mean, r.mean, c.mean = blend(e.mean, took), blend(r.mean, took), blend(c.mean, took)
--- a/control/state.go
+++ b/control/state.go
@@ -117,6 +117,7 @@
 	okAt      gateway.Micros // last delivery
 	sick      bool
 	loose     bool           // the last call went by the trickle
+	told      bool           // stated is from reports
 	tryAt     gateway.Micros // sick: next canary
 	coldSince gateway.Micros // first success after an outage, or never
 }
--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -433,6 +433,7 @@
 	}
 	for _, k := range s.Kinds {
 		f.Kinds = append(f.Kinds, gateway.Kind{Batch: k.Batch, Apart: k.Apart})
+		f.CapsTold = f.CapsTold || k.PlacesTold
 	}
 	for _, t := range s.Tenants {
 		f.Tenants = append(f.Tenants, t.Allowed)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,8 @@
 	MaxAdvice   Micros // the longest wait that a program heeds after a rejection; 0: none is heeded
 	RatesStated bool   // endpoint lists state the rate that a destination takes
 
+	CapsTold    bool   // a connection turned away at a cap is told as Crowded, not as ConnectFailed
+
 	ConnectTimeout Micros
 	Tick           Micros // least time between two turns
 	TurnGap        Micros // a key rests so long after an attempt that may still run
@@ -133,6 +135,9 @@
 	Resume(id WebhookID, evt EventTypeID, tenant TenantID, key Key, ttl Micros, dest DestinationID,
 		attempts int, mayRun Micros, zone ZoneID) // of an earlier life; mayRun: first attempt that may have run
 	Outcome(id WebhookID, ep EndpointID, what Outcome, took Micros, ended bool, wait Micros)
+	// Reported takes a load report, some time old and not exact, before the outcome it came with: the share of the
+	// limit that is left, and the calls a second that the limit allows the whole fleet; 0 where there is none.
+	Reported(ep EndpointID, left, limit float64)
 	Withdrawn(id WebhookID)
 	Wake(timer TimerID)
 	TurnOver()
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -124,6 +125,13 @@
 	return min(p.count(key+".count"), len(p.values))
 }
 
+// Reports are the places, in an endpoint's load report, of the share of its limit that is left and of the limit;
+// -1 where reports don't hold it.
+func Reports(text string) (left, limit int) {
+	names := readPairs(text).list("reporting.names")
+	return slices.Index(names, "x0"), slices.Index(names, "x1")
+}
+
 func read(seed uint64, p *pairs) (gateway.Facts, error) {
 	f := gateway.Facts{
 		Seed: seed, Fleet: p.count("fleetSize"), Zone: gateway.ZoneID(p.count("zone")),
--- a/lab/baseline/baseline.go
+++ b/lab/baseline/baseline.go
@@ -160,6 +160,9 @@
 	p.again(w)
 }
 
+// Reported is not heeded.
+func (p *Policy) Reported(gateway.EndpointID, float64, float64) {}
+
 func (p *Policy) again(w *webhook) {
 	w.readyAt = p.host.Now() + p.waits(max(w.attempts-1, 0), p.chance)
 	if w.attempts >= p.tries || w.evt.Repeat == gateway.AtMostOnce && w.mayRun != gateway.Never ||
