--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -91,9 +91,9 @@
 	who    uint16
 	module gateway.Module
 	inTurn bool
-	dead   bool   // killed, or its module panicked
-	killed bool   // what it did in this batch must not reach its next life
-	left   int    // places in a load report, or -1
+	dead   bool // killed, or its module panicked
+	killed bool // what it did in this batch must not reach its next life
+	left   int  // places in a load report, or -1
 	limit  int
 	acts   []byte // its actions in this batch
 	count  uint32
--- a/control/control.go
+++ b/control/control.go
@@ -48,8 +48,9 @@
 	overBurst  = 2.0  // seconds of a tenant's share that may come at once
 	fillTo     = 0.9  // of the buffer
 	connsBy    = 2.0  // connections that an endpoint takes, over its calls at once at the stated rate
-	connsLeast = 6.0  // and at the least
-	crowdedFor = 10   // warming times that a failed connect at a kind of destination counts for all of it
+	roomBy     = 0.5
+	connsLeast = 6.0 // and at the least
+	crowdedFor = 10  // warming times that a failed connect at a kind of destination counts for all of it
 )
 
 // Timers of an instance: one for periodic work, one for the earliest due time.
@@ -143,11 +144,12 @@
 }
 
 // Reported takes a destination's limit as it tells it: it stands in for a rate that no list states, or a rough one.
-func (c *Control) Reported(ep gateway.EndpointID, _, limit float64) {
+func (c *Control) Reported(ep gateway.EndpointID, left, limit float64) {
 	e, part := c.endpoints[ep], limit/float64(c.Fleet)
 	if e == nil || e.route == nil || !(part > 0) || math.IsInf(part, 0) {
 		return
 	}
+	e.route.room = roomBy * left * limit
 	if r := e.route; !r.told {
 		r.told, r.stated, r.pace = true, part, part
 	} else {
@@ -390,7 +392,7 @@
 // dispatcher's part, growing as the destination warms, of what doesn't push it over; one call at the least.
 func (c *Control) rate(d *destination, r *route) (rate, depth float64) {
 	if r.coldSince == never {
-		return max(r.pace, loose(d, r)), max(r.pace*burstSpan, 1)
+		return max(r.pace, loose(d, r)), max(max(r.pace, loose(d, r))*burstSpan, 1)
 	}
 	share := c.StartCapacity + (1-c.StartCapacity)*min(float64(c.now-r.coldSince)/float64(c.WarmAfter), 1)
 	return min(max(r.pace, loose(d, r)), max(coldPart*c.FallMultiple*share*r.stated, 1/c.WarmAfter.Seconds())), 1
@@ -399,7 +401,9 @@
 // loose is the rate that a route is let where this dispatcher's part is too small to live by: with hundreds
 // it is a call a minute, and a second webhook would wait out its TTL. It is learned over all routes from the
 // calls that it let go, and halves with each refusal in a row at the route: a full destination is spared.
-func loose(d *destination, r *route) float64 { return math.Ldexp(d.kind.trickle, -r.refused) }
+func loose(d *destination, r *route) float64 {
+	return math.Ldexp(max(d.kind.trickle, r.room), -r.refused)
+}
 
 // bound is how many calls a route may have out: its window, up to a share of the slots.
 func (c *Control) bound(r *route) int {
--- a/control/state.go
+++ b/control/state.go
@@ -116,7 +116,8 @@
 	refused   int            // refusals in a row
 	okAt      gateway.Micros // last delivery
 	sick      bool
-	loose     bool           // the last call went by the trickle
+	loose     bool // the last call went by the trickle
+	room      float64
 	told      bool           // stated is from reports
 	tryAt     gateway.Micros // sick: next canary
 	coldSince gateway.Micros // first success after an outage, or never
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,7 +94,7 @@
 	MaxAdvice   Micros // the longest wait that a program heeds after a rejection; 0: none is heeded
 	RatesStated bool   // endpoint lists state the rate that a destination takes
 
-	CapsTold    bool   // a connection turned away at a cap is told as Crowded, not as ConnectFailed
+	CapsTold bool // a connection turned away at a cap is told as Crowded, not as ConnectFailed
 
 	ConnectTimeout Micros
 	Tick           Micros // least time between two turns
