--- a/control/control.go
+++ b/control/control.go
@@ -392,17 +392,18 @@
 // dispatcher's part, growing as the destination warms, of what doesn't push it over; one call at the least.
 func (c *Control) rate(d *destination, r *route) (rate, depth float64) {
 	if r.coldSince == never {
-		return max(r.pace, loose(d, r)), max(max(r.pace, loose(d, r))*burstSpan, 1)
+		return max(r.pace, c.loose(d, r)), max(max(r.pace, c.loose(d, r))*burstSpan, 1)
 	}
 	share := c.StartCapacity + (1-c.StartCapacity)*min(float64(c.now-r.coldSince)/float64(c.WarmAfter), 1)
-	return min(max(r.pace, loose(d, r)), max(coldPart*c.FallMultiple*share*r.stated, 1/c.WarmAfter.Seconds())), 1
+	return min(max(r.pace, c.loose(d, r)), max(coldPart*c.FallMultiple*share*r.stated, 1/c.WarmAfter.Seconds())), 1
 }
 
 // loose is the rate that a route is let where this dispatcher's part is too small to live by: with hundreds
 // it is a call a minute, and a second webhook would wait out its TTL. It is learned over all routes from the
 // calls that it let go, and halves with each refusal in a row at the route: a full destination is spared.
-func loose(d *destination, r *route) float64 {
-	return math.Ldexp(max(d.kind.trickle, r.room), -r.refused)
+func (c *Control) loose(d *destination, r *route) float64 {
+	since := float64(c.now-r.fullAt) / (c.events[0].cap * float64(gateway.Second))
+	return max(d.kind.trickle, r.room) * math.Exp2(-float64(r.refused)*max(1-since, 0))
 }
 
 // bound is how many calls a route may have out: its window, up to a share of the slots.
@@ -458,7 +459,7 @@
 			e.linked, c.linked = true, append(c.linked, e)
 		}
 		r.tokens--
-		r.loose = r.coldSince == never && !r.sick && r.pace < loose(w.dest, r)
+		r.loose = r.coldSince == never && !r.sick && r.pace < c.loose(w.dest, r)
 		if r.sick {
 			c.sickOut++
 		}
@@ -654,6 +655,7 @@
 	case gateway.Full:
 		r.window = max(r.window/2, 1)
 		r.refused++
+		r.fullAt = c.now
 		if r.loose && wait < c.TipAfter {
 			e.dest.kind.trickle *= paceCut
 		}
@@ -674,6 +676,7 @@
 		e.dest.kind.crowded = c.now + crowdedFor*c.WarmAfter
 		e.limit = float64(max(e.out-1, 1))
 		r.tokens = min(r.tokens, 0)
+		r.fullAt = c.now
 		if r.refused++; r.refused >= fullRow && c.now-r.okAt > c.TipAfter {
 			c.sicken(r)
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -118,6 +118,7 @@
 	sick      bool
 	loose     bool // the last call went by the trickle
 	room      float64
+	fullAt    gateway.Micros
 	told      bool           // stated is from reports
 	tryAt     gateway.Micros // sick: next canary
 	coldSince gateway.Micros // first success after an outage, or never
