--- a/control/control.go
+++ b/control/control.go
@@ -48,7 +48,7 @@
 	overBurst  = 2.0  // seconds of a tenant's share that may come at once
 	fillTo     = 0.9  // of the buffer
 	connsBy    = 2.0  // connections that an endpoint takes, over its calls at once at the stated rate
-	roomBy     = 0.5
+	roomBy     = 1.0
 	connsLeast = 6.0 // and at the least
 	crowdedFor = 10  // warming times that a failed connect at a kind of destination counts for all of it
 )
@@ -149,7 +149,9 @@
 	if e == nil || e.route == nil || !(part > 0) || math.IsInf(part, 0) {
 		return
 	}
-	e.route.room = roomBy * left * limit
+	k := e.dest.kind
+	k.left += smooth / 4 * (left - k.left)
+	e.route.left, e.route.limit, e.route.toldAt = left, limit, c.now
 	if r := e.route; !r.told {
 		r.told, r.stated, r.pace = true, part, part
 	} else {
@@ -402,8 +404,9 @@
 // it is a call a minute, and a second webhook would wait out its TTL. It is learned over all routes from the
 // calls that it let go, and halves with each refusal in a row at the route: a full destination is spared.
 func (c *Control) loose(d *destination, r *route) float64 {
-	since := float64(c.now-r.fullAt) / (c.events[0].cap * float64(gateway.Second))
-	return max(d.kind.trickle, r.room) * math.Exp2(-float64(r.refused)*max(1-since, 0))
+	m := c.events[0].cap * float64(gateway.Second)
+	room := roomBy * r.limit * (r.left + (d.kind.left-r.left)*min(float64(c.now-r.toldAt)/m, 1))
+	return max(d.kind.trickle, room) * math.Exp2(-float64(r.refused)*max(1-float64(c.now-r.fullAt)/m, 0))
 }
 
 // bound is how many calls a route may have out: its window, up to a share of the slots.
--- a/control/state.go
+++ b/control/state.go
@@ -116,8 +116,10 @@
 	refused   int            // refusals in a row
 	okAt      gateway.Micros // last delivery
 	sick      bool
-	loose     bool // the last call went by the trickle
-	room      float64
+	loose     bool    // the last call went by the trickle
+	left      float64 // share of the limit
+	limit     float64 // calls a second of the whole fleet; 0 until told
+	toldAt    gateway.Micros
 	fullAt    gateway.Micros
 	told      bool           // stated is from reports
 	tryAt     gateway.Micros // sick: next canary
@@ -128,6 +130,7 @@
 type kind struct {
 	gateway.Kind
 	trickle float64        // calls a second that a route with a tiny part is let
+	left    float64        // share of the limit that reports tell is left, smoothed
 	crowded gateway.Micros // until then it counts as short of connections
 }
 
