--- a/control/control.go
+++ b/control/control.go
@@ -685,7 +685,9 @@
 		}
 	default:
 		if what == gateway.ConnectFailed {
-			e.dest.kind.crowded = c.now + crowdedFor*c.WarmAfter
+			if took < c.ConnectTimeout/2 { // a cap answers; who is silent says nothing of one
+				e.dest.kind.crowded = c.now + crowdedFor*c.WarmAfter
+			}
 			// A cap on connections is no outage: calls succeed beside it. It grows with them, as it may be one's start.
 			if c.now-e.okAt < 2*c.ConnectTimeout {
 				e.limit = float64(max(e.out-1, 1))
@@ -716,7 +718,7 @@
 		well := func(o *endpoint) bool { return o.route == r && o.fails < sickRow }
 		if !slices.ContainsFunc(e.dest.endpoints, well) {
 			c.sicken(r)
-		} else if !r.sick && (r.failing > sickAt || c.now-r.okAt > c.TipAfter) {
+		} else if !r.sick && (r.failing > sickAt || r.failing > smooth && c.now-r.okAt > c.TipAfter) {
 			r.coldSince = c.now
 		}
 	}
