--- a/control/control.go
+++ b/control/control.go
@@ -50,6 +50,7 @@
 	connsBy    = 2.0  // connections that an endpoint takes, over its calls at once at the stated rate
 	roomBy     = 1.0
 	connsLeast = 6.0 // and at the least
+	stoodBy    = 20  // ticks late with its own timer, the dispatcher has stood still
 	crowdedFor = 10  // warming times that a failed connect at a kind of destination counts for all of it
 )
 
@@ -92,7 +93,7 @@
 		c.tenants = append(c.tenants, tenant{perS: perS, level: perS * overBurst, at: c.now})
 	}
 	c.stages = []func(*webhook) verdict{c.inTurn, c.schedule, c.slots, c.choose, c.send}
-	host.Wake(gateway.Second/2, timerPeriod)
+	c.wakePeriod()
 	return c
 }
 
@@ -118,6 +119,9 @@
 		}
 		e.route = cmp.Or(e.route, d.shared)
 		if e.listed = l.Standing == gateway.Listed; e.listed && !slices.Contains(d.endpoints, e) {
+			if len(d.endpoints) == 0 && len(d.queue) > 0 {
+				c.chill(d.shared) // what waited for it anywhere would go at once
+			}
 			d.endpoints = append(d.endpoints, e)
 		} else if !e.listed && !slices.Contains(d.endpoints, e) {
 			c.left = append(c.left, e) // never listed here: it is forgotten like one that was
@@ -719,11 +723,14 @@
 		if !slices.ContainsFunc(e.dest.endpoints, well) {
 			c.sicken(r)
 		} else if !r.sick && (r.failing > sickAt || r.failing > smooth && c.now-r.okAt > c.TipAfter) {
-			r.coldSince = c.now
+			c.chill(r)
 		}
 	}
 }
 
+// chill lets a route have a returning destination's rate. The first call comes by chance within the time to warm.
+func (c *Control) chill(r *route) { r.coldSince, r.tokens, r.tokensAt = c.now, c.chance.Float(), c.now }
+
 // sicken closes a route but for canaries. It covers whatever makes calls fail in a row: destinations crashed,
 // shut, hung or failing. It could do harm where failures cluster by chance; a canary's success ends it.
 func (c *Control) sicken(r *route) {
@@ -757,7 +764,8 @@
 		c.armed = math.MaxInt64
 		return
 	}
-	c.host.Wake(gateway.Second/2, timerPeriod)
+	c.respread(c.now - c.periodAt)
+	c.wakePeriod()
 	for _, d := range c.order {
 		c.rank(d)
 	}
@@ -776,6 +784,30 @@
 	})
 }
 
+func (c *Control) wakePeriod() {
+	c.periodAt = c.now + gateway.Second/2
+	c.host.Wake(gateway.Second/2, timerPeriod)
+}
+
+// respread draws anew what came due while the dispatcher itself stood still. Guards against a building full of them
+// that wake together and send in one moment what chance had spread; buckets don't fill in that time.
+func (c *Control) respread(stood gateway.Micros) {
+	if stood < stoodBy*c.Tick {
+		return
+	}
+	for _, d := range c.busy {
+		if d.shared.coldSince != never {
+			d.shared.tokensAt = c.now
+		}
+		for _, w := range d.queue {
+			if w.queued && w.attempts > 0 && w.readyAt <= c.now {
+				w.readyAt = c.now + gateway.Micros(c.chance.Float()*float64(stood))
+				c.dues.Add(int64(w.readyAt), w)
+			}
+		}
+	}
+}
+
 // rank renews the order in which a destination's endpoints are filled: quick and near ones first.
 func (c *Control) rank(d *destination) {
 	if len(d.endpoints) < 2 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -400,7 +400,7 @@
 	}
 	assert.Less(t, s.kinds[0].trickle, trickle, "refusals of what it let go lower it")
 	full := s.dests[1]
-	assert.Less(t, loose(full, full.shared), s.kinds[0].trickle, "and most at the destination that refused")
+	assert.Less(t, s.loose(full, full.shared), s.kinds[0].trickle, "and most at the destination that refused")
 }
 
 func TestCanariesOfManyWaitForTheirPartAndPastAToldWait(t *testing.T) {
--- a/control/state.go
+++ b/control/state.go
@@ -33,8 +33,9 @@
 	turns     map[gateway.Key]*turn
 	dues      due.Times[*webhook] // nil stands for a route that opens
 	armed     gateway.Micros
-	mean      float64 // answer time in µs over all routes, smoothed
-	lost      float64 // share of late calls that timed out, over all routes, smoothed
+	periodAt  gateway.Micros // the periodic wake is due then
+	mean      float64        // answer time in µs over all routes, smoothed
+	lost      float64        // share of late calls that timed out, over all routes, smoothed
 	shedding  bool
 	stages    []func(*webhook) verdict
 	pick      *endpoint // the endpoint stage's choice for the send stage
