--- a/control/control.go
+++ b/control/control.go
@@ -410,7 +410,7 @@
 func (c *Control) loose(d *destination, r *route) float64 {
 	m := c.events[0].cap * float64(gateway.Second)
 	room := roomBy * r.limit * (r.left + (d.kind.left-r.left)*min(float64(c.now-r.toldAt)/m, 1))
-	return max(d.kind.trickle, room) * math.Exp2(-float64(r.refused)*max(1-float64(c.now-r.fullAt)/m, 0))
+	return max(d.kind.trickle*math.Exp2(-float64(r.refused)*max(1-float64(c.now-r.fullAt)/m, 0)), math.Ldexp(room, -2*r.refused))
 }
 
 // bound is how many calls a route may have out: its window, up to a share of the slots.
