--- a/control/control.go
+++ b/control/control.go
@@ -410,7 +410,7 @@
 func (c *Control) loose(d *destination, r *route) float64 {
 	m := c.events[0].cap * float64(gateway.Second)
 	room := roomBy * r.limit * (r.left + (d.kind.left-r.left)*min(float64(c.now-r.toldAt)/m, 1))
-	return max(d.kind.trickle*math.Exp2(-float64(r.refused)*max(1-float64(c.now-r.fullAt)/m, 0)), math.Ldexp(room, -2*r.refused))
+	return max(d.kind.trickle*math.Exp2(-float64(r.refused)*max(1-float64(c.now-r.fullAt)/m, 0)), math.Ldexp(room, -4*r.refused))
 }
 
 // bound is how many calls a route may have out: its window, up to a share of the slots.
@@ -667,7 +667,7 @@
 			e.dest.kind.trickle *= paceCut
 		}
 		// Guards against refusals that use up the limit: no other webhook follows at once, and the pace falls.
-		r.tokens = min(r.tokens, 0)
+		r.tokens = min(r.tokens, 0.5-c.chance.Float())
 		if c.now-r.cutAt > gateway.Second/2 {
 			r.cutAt = c.now
 			r.pace = max(r.pace*paceCut, r.stated*paceLeast)
