--- a/control/control.go
+++ b/control/control.go
@@ -410,7 +410,7 @@
 func (c *Control) loose(d *destination, r *route) float64 {
 	m := c.events[0].cap * float64(gateway.Second)
 	room := roomBy * r.limit * (r.left + (d.kind.left-r.left)*min(float64(c.now-r.toldAt)/m, 1))
-	return max(d.kind.trickle*math.Exp2(-float64(r.refused)*max(1-float64(c.now-r.fullAt)/m, 0)), math.Ldexp(room, -3*r.doubt))
+	return max(d.kind.trickle*math.Exp2(-float64(r.refused)*max(1-float64(c.now-r.fullAt)/m, 0)), math.Ldexp(room, -4*r.refused))
 }
 
 // bound is how many calls a route may have out: its window, up to a share of the slots.
@@ -646,7 +646,7 @@
 		if r.loose {
 			e.dest.kind.trickle = min(e.dest.kind.trickle*(1+paceStep), 1/c.events[0].Target.Seconds())
 		}
-		e.fails, e.okAt, r.okAt, r.refused, r.doubt = 0, c.now, c.now, 0, 0
+		e.fails, e.okAt, r.okAt, r.refused = 0, c.now, c.now, 0
 		e.limit += smooth // a failed connect may have been a stray one
 		r.failing, r.lost = (1-smooth)*r.failing, (1-smooth)*r.lost
 		c.lost -= smooth / 4 * c.lost
@@ -663,12 +663,6 @@
 		r.window = max(r.window/2, 1)
 		r.refused++
 		r.fullAt = c.now
-		if wait == 0 {
-			r.doubt++
-			if r.left > 0.5 {
-				r.doubt++
-			}
-		}
 		if r.loose && wait < c.TipAfter {
 			e.dest.kind.trickle *= paceCut
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -123,7 +123,6 @@
 	toldAt    gateway.Micros
 	fullAt    gateway.Micros
 	told      bool           // stated is from reports
-	doubt     int // refusals in a row that no limit explains
 	tryAt     gateway.Micros // sick: next canary
 	coldSince gateway.Micros // first success after an outage, or never
 }
