New settings load in a running dispatcher on SIGHUP, there and back

Until now SIGHUP moved discovery alone. The module takes facts anew (Renew, which New uses too): event types taken keep their terms, what is beyond a lower limit drains, parts follow the fleet. facts.Fits refuses a file in which a name loses its place, a kind's routes are parted, or what holds from start to end differs; weightSource is checked.

--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -241,7 +241,7 @@
 	return call, nil
 }
 
-// report reads a load report and returns the call that tells of it; one that is absent or short tells nothing.
+// report reads a load report and returns the call that tells of it; an absent or short one tells nothing.
 func (in *instance) report(f *fields, ep gateway.EndpointID) (tell func()) {
 	values := make([]float64, f.u8())
 	for i := range values {
--- a/cmd/rowanlink/main.go
+++ b/cmd/rowanlink/main.go
@@ -56,15 +56,10 @@
 	if err != nil {
 		return err
 	}
-	seed, err := strconv.ParseUint(told.Get("seed").String(), 16, 64)
-	if err != nil {
-		return fmt.Errorf("seed: %w", err)
-	}
-	known, names, idleLimit, err := facts.FromJSON(seed, told.Get("settings"))
+	known, names, idleLimit, err := settings(told)
 	if err != nil {
 		return err
 	}
-	known.CapsTold = true // the protocol's answer for it has an outcome of its own
 	limit := func(name string, otherwise float64) float64 {
 		if v := told.Get("limits." + name).Float(); v > 0 {
 			return v
@@ -88,12 +83,8 @@
 	d := decider.New(x, life, kept, known)
 	calls := endpoints.New(&x.Counters, d.Came, known.ConnectTimeout, idleLimit, int(connPart*sockets))
 	finals := notices.New(told.Get("discovery").String(), &x.Counters, d.Heard)
-	longest := gateway.Micros(0)
-	for _, t := range known.EventTypes {
-		longest = max(longest, t.TTL)
-	}
 	list := registry.New(told.Get("discovery").String(), names,
-		asking.New(seed, gateway.Micros(registry.LinePeriod.Microseconds())), 2*longest, d.Listed,
+		asking.New(known.Seed, gateway.Micros(registry.LinePeriod.Microseconds())), keepNames(known), d.Listed,
 		func() { x.ListsBroken.Add(1) })
 	if err := list.Take(told.Get("known")); err != nil {
 		slog.Warn("no known list", "why", err)
@@ -107,7 +98,14 @@
 	go finals.Run()
 	go list.Follow()
 	go func() { served <- server.Serve(on) }()
-	go reload(hangups, os.Getenv("LB_CONFIG"), list.Move, finals.Move)
+	go reload(hangups, os.Getenv("LB_CONFIG"), told, func(told gjson.Result, f gateway.Facts, names facts.Names,
+		idleLimit gateway.Micros) {
+		d.Renew(f, idleLimit) // first, so that it knows what webhooks and lists may name next
+		server.Renew(f, names)
+		list.Renew(names, keepNames(f))
+		list.Move(told.Get("discovery").String())
+		finals.Move(told.Get("discovery").String())
+	})
 
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
@@ -127,23 +125,60 @@
 	return kept.Close()
 }
 
-// reload reads the configuration again on each SIGHUP and tells where discovery is now. All else in the file
-// holds from the next start on; a file that can't be read changes nothing.
-func reload(hangups <-chan os.Signal, path string, move ...func(addr string)) {
+// keepNames is for how long a gone endpoint's name may still be waited for: two of the longest TTLs.
+func keepNames(f gateway.Facts) (longest gateway.Micros) {
+	for _, t := range f.EventTypes {
+		longest = max(longest, 2*t.TTL)
+	}
+	return longest
+}
+
+// settings reads what a dispatcher is told of its platform, for sockets.
+func settings(told gjson.Result) (gateway.Facts, facts.Names, gateway.Micros, error) {
+	seed, err := strconv.ParseUint(told.Get("seed").String(), 16, 64)
+	if err != nil {
+		return gateway.Facts{}, facts.Names{}, 0, fmt.Errorf("seed: %w", err)
+	}
+	f, names, idleLimit, err := facts.FromJSON(seed, told.Get("settings"))
+	f.CapsTold = true // the protocol's answer for it has an outcome of its own
+	return f, names, idleLimit, err
+}
+
+// fixed is what holds from start to end.
+var fixed = []string{"listen", "limits.sockets", "limits.disk_mb", "limits.memory_mb"}
+
+// reload reads the configuration again on each SIGHUP and hands it on whole. A file that can't be read, or
+// can't be applied to a running dispatcher, changes nothing.
+func reload(hangups <-chan os.Signal, path string, was gjson.Result,
+	renew func(gjson.Result, gateway.Facts, facts.Names, gateway.Micros)) {
 	for range hangups {
 		told, err := configuration(path)
-		addr := told.Get("discovery").String()
 		if err == nil {
-			_, _, err = net.SplitHostPort(addr)
+			_, _, err = net.SplitHostPort(told.Get("discovery").String())
+		}
+		for _, key := range fixed {
+			if err == nil && told.Get(key).String() != was.Get(key).String() {
+				err = fmt.Errorf("%s can't change in a running process", key)
+			}
+		}
+		var f gateway.Facts
+		var names facts.Names
+		var idleLimit gateway.Micros
+		if err == nil {
+			f, names, idleLimit, err = settings(told)
+		}
+		if err == nil {
+			before, beforeNames, _, _ := settings(was)
+			err = facts.Fits(before, f, beforeNames, names)
 		}
 		if err != nil {
 			slog.Error("configuration not read again, the old one stays", "why", err)
 			continue
 		}
-		slog.Info("configuration read again", "discovery", addr)
-		for _, m := range move {
-			m(addr)
-		}
+		renew(told, f, names, idleLimit)
+		was = told
+		slog.Info("configuration read again", "discovery", told.Get("discovery").String(), "slots", f.Slots,
+			"buffer", f.Buffer, "fleet", f.Fleet, "event_types", len(names.EventTypes), "kinds", len(names.Kinds))
 	}
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -6,9 +6,8 @@
 // control/state.go. Nothing is shared between instances.
 //
 // A webhook passes a chain of stages - order, schedule, slots, endpoint, send - each of which passes it on
-// or holds it until a later turn. An outcome runs back through them from the last. Whatever holds a
-// webhook, its due time ends it when it can no longer be sent. docs/design.md tells stage by stage what is
-// the design's and what is an exception, and when that acts.
+// or holds it until a later turn. An outcome runs back through them from the last. Whatever holds a webhook,
+// its due time ends it. docs/design.md tells what is the design's, what is an exception, and when it acts.
 package control
 
 import (
@@ -43,15 +42,16 @@
 	fullRow    = 6    // refusals in a row that do
 	sickAt     = 0.5  // share of failed calls that does
 	canaryBy   = 0.1  // least pause between canaries, over the time to warm; the longest is that time
+	roomBy     = 3    // told room halves so often more with each refusal in a row
+	coldCalls  = 2.0  // times to warm for one call at the least into the cold
 	coldPart   = 0.75 // of the budget of a cold route that is used
 	farBy      = 1.2  // weight of another zone's answer times in the ranked order
 	overBurst  = 2.0  // seconds of a tenant's share that may come at once
 	fillTo     = 0.9  // of the buffer
 	connsBy    = 2.0  // connections that an endpoint takes, over its calls at once at the stated rate
-	roomBy     = 1.0
-	connsLeast = 6.0 // and at the least
-	stoodBy    = 20  // ticks late with its own timer, the dispatcher has stood still
-	crowdedFor = 10  // warming times that a failed connect at a kind of destination counts for all of it
+	connsLeast = 6.0  // and at the least
+	stoodBy    = 20   // ticks late with its own timer, the dispatcher has stood still
+	crowdedFor = 10   // warming times that a failed connect at a kind of destination counts for all of it
 )
 
 // Timers of an instance: one for periodic work, one for the earliest due time.
@@ -61,40 +61,61 @@
 
 const pass, hold verdict = true, false
 
-// New starts a dispatcher that knows nothing but the facts. Facts left out are made harmless.
+// New starts a dispatcher that knows nothing but the facts.
 func New(f gateway.Facts, host gateway.Host) *Control {
+	c := &Control{host: host, chance: mwc.New(f.Seed), now: host.Now(), armed: math.MaxInt64,
+		held: map[gateway.WebhookID]*webhook{}, dests: map[gateway.DestinationID]*destination{},
+		endpoints: map[gateway.EndpointID]*endpoint{}, turns: map[gateway.Key]*turn{}, kinds: []*kind{{}}}
+	c.stages = []func(*webhook) verdict{c.inTurn, c.schedule, c.slots, c.choose, c.send}
+	c.Renew(f)
+	c.Wake(timerPeriod)
+	return c
+}
+
+// Renew takes facts, at the start and while it runs; those left out are made harmless. Webhooks taken keep
+// their terms, what was learned stays, and what is held or out beyond a lower limit drains.
+func (c *Control) Renew(f gateway.Facts) {
+	c.now = c.host.Now()
 	f.Fleet, f.Slots, f.Buffer = max(f.Fleet, 1), max(f.Slots, 1), max(f.Buffer, 1)
 	f.MaxAttempts, f.Tick = max(f.MaxAttempts, 1), max(f.Tick, 1)
 	f.WarmAfter, f.TipAfter = max(f.WarmAfter, gateway.Second), max(f.TipAfter, gateway.Second)
 	if f.StartCapacity <= 0 || f.FallMultiple <= 0 {
 		f.StartCapacity, f.FallMultiple = 0.1, 1
 	}
-	c := &Control{Facts: f, host: host, chance: mwc.New(f.Seed), now: host.Now(), armed: math.MaxInt64,
-		held: map[gateway.WebhookID]*webhook{}, dests: map[gateway.DestinationID]*destination{},
-		endpoints: map[gateway.EndpointID]*endpoint{}, turns: map[gateway.Key]*turn{}}
-	// The last row serves webhooks of an event type that the facts don't name: they are never repeated.
+	was, routes := float64(c.Fleet)/float64(f.Fleet), map[*route]bool{}
+	for _, e := range c.endpoints { // parts of rates are of the fleet
+		routes[cmp.Or(e.route, &route{})] = true
+	}
+	for r := range routes {
+		r.stated, r.pace = r.stated*was, r.pace*was
+	}
+	for _, d := range c.order {
+		d.stated *= was
+	}
+	c.Facts, c.drains, c.events = f, c.open, nil
 	unnamed := gateway.EventType{TTL: f.WarmAfter, Target: f.TipAfter, Repeat: gateway.AtMostOnce}
-	for _, t := range append(slices.Clone(f.EventTypes), unnamed) {
-		row := eventRow{EventType: t}
+	for _, t := range append(slices.Clone(f.EventTypes), unnamed) { // the last row serves those not named
 		tightest := t.TTL
 		if t.Repeat == gateway.Tokened {
 			tightest = min(tightest, t.TokenWindow)
 		}
-		row.cap = capShare * tightest.Seconds()
-		row.reach = max(gateway.Micros(patienceBy*float64(tightest)), 1)
-		c.events = append(c.events, row)
+		reach := max(gateway.Micros(patienceBy*float64(tightest)), 1)
+		c.events = append(c.events, eventRow{t, capShare * tightest.Seconds(), reach})
+	}
+	for i, k := range f.Kinds {
+		if i == len(c.kinds)-1 { // the last row serves kinds not named
+			c.kinds = slices.Insert(c.kinds, i, &kind{})
+		}
+		c.kinds[i].Kind = k
 	}
-	for _, k := range append(slices.Clone(f.Kinds), gateway.Kind{}) { // the last row serves kinds not named
-		k.Batch = max(k.Batch, 1)
-		c.kinds = append(c.kinds, &kind{Kind: k, trickle: 1 / c.events[0].Target.Seconds()})
+	for _, k := range c.kinds {
+		k.Batch, k.trickle = max(k.Batch, 1), cmp.Or(k.trickle, 1/c.events[0].Target.Seconds())
 	}
+	c.tenants = nil
 	for _, perS := range f.Tenants {
 		perS /= float64(f.Fleet)
 		c.tenants = append(c.tenants, tenant{perS: perS, level: perS * overBurst, at: c.now})
 	}
-	c.stages = []func(*webhook) verdict{c.inTurn, c.schedule, c.slots, c.choose, c.send}
-	c.wakePeriod()
-	return c
 }
 
 // Endpoints takes a list: the whole of it, or what has changed.
@@ -120,7 +141,7 @@
 		e.route = cmp.Or(e.route, d.shared)
 		if e.listed = l.Standing == gateway.Listed; e.listed && !slices.Contains(d.endpoints, e) {
 			if len(d.endpoints) == 0 && len(d.queue) > 0 {
-				c.chill(d.shared) // what waited for it anywhere would go at once
+				c.chill(e.route) // what waited for it anywhere would go at once
 			}
 			d.endpoints = append(d.endpoints, e)
 		} else if !e.listed && !slices.Contains(d.endpoints, e) {
@@ -147,15 +168,13 @@
 	}
 }
 
-// Reported takes a destination's limit as it tells it: it stands in for a rate that no list states, or a rough one.
+// Reported takes a destination's limit from itself: it stands in for a rate that no list states, or roughly.
 func (c *Control) Reported(ep gateway.EndpointID, left, limit float64) {
 	e, part := c.endpoints[ep], limit/float64(c.Fleet)
 	if e == nil || e.route == nil || !(part > 0) || math.IsInf(part, 0) {
 		return
 	}
-	k := e.dest.kind
-	k.left += smooth / 4 * (left - k.left)
-	e.route.left, e.route.limit, e.route.toldAt = left, limit, c.now
+	e.route.room = left * limit
 	if r := e.route; !r.told {
 		r.told, r.stated, r.pace = true, part, part
 	} else {
@@ -163,7 +182,7 @@
 	}
 }
 
-// newRoute takes, until a rate is stated or told, that the slots are each used once a second; where no list states
+// newRoute takes, until a rate is stated or told, that each slot is used once a second; where no list states
 // any, over all destinations alike.
 func (c *Control) newRoute(name gateway.EndpointID) *route {
 	perS := float64(c.Slots)
@@ -398,19 +417,18 @@
 // dispatcher's part, growing as the destination warms, of what doesn't push it over; one call at the least.
 func (c *Control) rate(d *destination, r *route) (rate, depth float64) {
 	if r.coldSince == never {
-		return max(r.pace, c.loose(d, r)), max(max(r.pace, c.loose(d, r))*burstSpan, 1)
+		return max(r.pace, loose(d, r)), max(max(r.pace, loose(d, r))*burstSpan, 1)
 	}
 	share := c.StartCapacity + (1-c.StartCapacity)*min(float64(c.now-r.coldSince)/float64(c.WarmAfter), 1)
-	return min(max(r.pace, c.loose(d, r)), max(coldPart*c.FallMultiple*share*r.stated, 1/(2*c.WarmAfter.Seconds()))), 1
+	part := max(coldPart*c.FallMultiple*share*r.stated, 1/(coldCalls*c.WarmAfter.Seconds()))
+	return min(max(r.pace, loose(d, r)), part), 1
 }
 
-// loose is the rate that a route is let where this dispatcher's part is too small to live by: with hundreds
-// it is a call a minute, and a second webhook would wait out its TTL. It is learned over all routes from the
-// calls that it let go, and halves with each refusal in a row at the route: a full destination is spared.
-func (c *Control) loose(d *destination, r *route) float64 {
-	m := c.events[0].cap * float64(gateway.Second)
-	room := roomBy * r.limit * (r.left + (d.kind.left-r.left)*min(float64(c.now-r.toldAt)/m, 1))
-	return max(d.kind.trickle*math.Exp2(-float64(r.refused)*max(1-float64(c.now-r.fullAt)/m, 0)), math.Ldexp(room, -4*r.refused))
+// loose is the rate a route is let where this dispatcher's part is too small to live by: learned over all
+// routes from the calls that it let go, or told by reports. Refusals in a row halve it, told room far more:
+// hundreds see the same room, and a hung destination refuses like a full one.
+func loose(d *destination, r *route) float64 {
+	return math.Ldexp(max(d.kind.trickle, math.Ldexp(r.room, -roomBy*r.refused)), -r.refused)
 }
 
 // bound is how many calls a route may have out: its window, up to a share of the slots.
@@ -422,9 +440,8 @@
 	return max(int(min(r.window, share*float64(c.Slots))), 1)
 }
 
-// silent guards the slots against a route that hangs, before the first time-out tells of it. It also covers
-// short stalls, where a call sent now would only queue. It could hold back a route whose answers vary widely,
-// which is why it takes two calls out.
+// silent guards the slots against a route that hangs, before a time-out tells of it, and short stalls,
+// where calls only queue. It takes two calls out: it could hold back a route whose answers vary widely.
 func (c *Control) silent(r *route) bool {
 	return r.out >= 2 && r.mean > 0 && float64(c.now-r.heardAt) > max(silentBy/float64(r.out), 1)*r.mean
 }
@@ -466,7 +483,7 @@
 			e.linked, c.linked = true, append(c.linked, e)
 		}
 		r.tokens--
-		r.loose = r.coldSince == never && !r.sick && r.pace < c.loose(w.dest, r)
+		r.loose = r.coldSince == never && !r.sick && r.pace < loose(w.dest, r)
 		if r.sick {
 			c.sickOut++
 		}
@@ -635,8 +652,8 @@
 func (c *Control) judge(e *endpoint, what gateway.Outcome, took, wait gateway.Micros) {
 	r := e.route
 	r.heardAt, r.wakeAt = c.now, 0
-	// Guards against a cap taken for an outage where the port can't tell them apart: a silent endpoint takes the whole
-	// time-out. One that crashed refuses as quickly; it is found as one that is crowded for long.
+	// Guards against a cap taken for an outage where the port can't tell them apart: who is silent takes the
+	// whole time-out. One that crashed refuses as quickly; it is found as one that is crowded for long.
 	if what == gateway.ConnectFailed && !c.CapsTold && took < c.ConnectTimeout/2 {
 		what = gateway.Crowded
 	}
@@ -662,7 +679,6 @@
 	case gateway.Full:
 		r.window = max(r.window/2, 1)
 		r.refused++
-		r.fullAt = c.now
 		if r.loose && wait < c.TipAfter {
 			e.dest.kind.trickle *= paceCut
 		}
@@ -683,7 +699,6 @@
 		e.dest.kind.crowded = c.now + crowdedFor*c.WarmAfter
 		e.limit = float64(max(e.out-1, 1))
 		r.tokens = min(r.tokens, 0)
-		r.fullAt = c.now
 		if r.refused++; r.refused >= fullRow && c.now-r.okAt > c.TipAfter {
 			c.sicken(r)
 		}
@@ -692,7 +707,7 @@
 			if took < c.ConnectTimeout/2 { // a cap answers; who is silent says nothing of one
 				e.dest.kind.crowded = c.now + crowdedFor*c.WarmAfter
 			}
-			// A cap on connections is no outage: calls succeed beside it. It grows with them, as it may be one's start.
+			// A cap on connections is no outage: calls succeed beside it. It grows with them: it may start one.
 			if c.now-e.okAt < 2*c.ConnectTimeout {
 				e.limit = float64(max(e.out-1, 1))
 				return
@@ -710,7 +725,7 @@
 				c.lost += smooth / 4 * (1 - c.lost)
 			}
 		}
-		// What an endpoint left out fails says nothing more of the route, nor does a connection that breaks beside others.
+		// What an endpoint left out fails says nothing more of the route, nor a connection that breaks by itself.
 		if e.fails++; e.fails <= sickRow && (what != gateway.Reset || c.now-e.okAt > c.TipAfter) {
 			r.failing += smooth * (1 - r.failing)
 		}
@@ -728,7 +743,7 @@
 	}
 }
 
-// chill lets a route have a returning destination's rate. The first call comes by chance within the time to warm.
+// chill lets a route have a returning destination's rate. The first call comes by chance, not by the clock.
 func (c *Control) chill(r *route) { r.coldSince, r.tokens, r.tokensAt = c.now, c.chance.Float(), c.now }
 
 // sicken closes a route but for canaries. It covers whatever makes calls fail in a row: destinations crashed,
@@ -764,8 +779,11 @@
 		c.armed = math.MaxInt64
 		return
 	}
-	c.respread(c.now - c.periodAt)
-	c.wakePeriod()
+	if stood := c.now - c.periodAt; stood >= stoodBy*c.Tick {
+		c.respread(stood)
+	}
+	c.periodAt = c.now + gateway.Second/2
+	c.host.Wake(gateway.Second/2, timerPeriod)
 	for _, d := range c.order {
 		c.rank(d)
 	}
@@ -774,7 +792,8 @@
 		return !e.linked
 	})
 	// Guards against keeping all who ever were: order keys at rest, and endpoints that left the list long ago.
-	maps.DeleteFunc(c.turns, func(_ gateway.Key, t *turn) bool { return len(t.line) == 0 && c.now >= t.restUntil })
+	idle := func(_ gateway.Key, t *turn) bool { return len(t.line) == 0 && c.now >= t.restUntil }
+	maps.DeleteFunc(c.turns, idle)
 	c.left = slices.DeleteFunc(c.left, func(e *endpoint) bool {
 		over := e.out == 0 && c.now-e.leftAt > crowdedFor*c.WarmAfter
 		if over && !e.listed && c.endpoints[e.id] == e {
@@ -784,21 +803,10 @@
 	})
 }
 
-func (c *Control) wakePeriod() {
-	c.periodAt = c.now + gateway.Second/2
-	c.host.Wake(gateway.Second/2, timerPeriod)
-}
-
-// respread draws anew what came due while the dispatcher itself stood still. Guards against a building full of them
-// that wake together and send in one moment what chance had spread; buckets don't fill in that time.
+// respread draws anew what came due while the dispatcher stood still. Guards against a building full of them
+// that wake together and send in one moment what chance had spread.
 func (c *Control) respread(stood gateway.Micros) {
-	if stood < stoodBy*c.Tick {
-		return
-	}
 	for _, d := range c.busy {
-		if d.shared.coldSince != never {
-			d.shared.tokensAt = c.now
-		}
 		for _, w := range d.queue {
 			if w.queued && w.attempts > 0 && w.readyAt <= c.now {
 				w.readyAt = c.now + gateway.Micros(c.chance.Float()*float64(stood))
@@ -826,7 +834,8 @@
 // shed keeps the buffer from filling up: past its share the webhooks worth least, of the destination with the
 // longest queue, are rejected, so that those for other destinations are not turned away at the door.
 func (c *Control) shed() {
-	most := max(int(fillTo*float64(c.Buffer)), 1)
+	c.drains = min(c.drains, c.open)
+	most := max(int(fillTo*float64(c.Buffer)), c.drains, 1)
 	if !c.shedding && c.open > most || c.shedding && c.open <= most/2 {
 		c.shedding = !c.shedding
 		c.host.Log(fmt.Sprintf("shedding %v, %d held", c.shedding, c.open))
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -400,7 +400,7 @@
 	}
 	assert.Less(t, s.kinds[0].trickle, trickle, "refusals of what it let go lower it")
 	full := s.dests[1]
-	assert.Less(t, s.loose(full, full.shared), s.kinds[0].trickle, "and most at the destination that refused")
+	assert.Less(t, loose(full, full.shared), s.kinds[0].trickle, "and most at the destination that refused")
 }
 
 func TestCanariesOfManyWaitForTheirPartAndPastAToldWait(t *testing.T) {
@@ -600,12 +600,12 @@
 		s.Reported(0, 0.5, 40)
 	}
 	s.came(1, gateway.Delivered, 0)
-	before := s.loose(d, d.shared)
+	before := loose(d, d.shared)
 	assert.Greater(t, before, 5.0)
 	s.take(2, 0, 0)
 	s.run(sec)
 	s.came(2, gateway.Full, 0)
-	assert.Less(t, s.loose(d, d.shared), before/8)
+	assert.Less(t, loose(d, d.shared), before/8)
 }
 
 // Guards against caps on connections taken for outages where the port can't tell them apart.
@@ -629,7 +629,7 @@
 	}
 }
 
-// Guards against a building of dispatchers that stood still and send in one moment all that came due meanwhile.
+// Guards against dispatchers that stood still and send in one moment all that came due meanwhile.
 func TestRetriesThatCameDueInAStallAreSpreadAnew(t *testing.T) {
 	f := untold(1)
 	f.Slots = 80
@@ -660,3 +660,39 @@
 	s.TurnOver()
 	assert.NotEqualValues(t, never, s.dests[0].shared.coldSince)
 }
+
+// Guards against a reload that loses, repeats or re-terms what was taken on before it.
+func TestNewFactsLeaveWhatIsHeldItsTermsAndDropNothing(t *testing.T) {
+	f := plainFacts()
+	s := begin(f, 0, 0, 0, 0)
+	for id := range gateway.WebhookID(60) {
+		s.take(id, 2, gateway.DestinationID(id%4))
+	}
+	s.TurnOver()
+	for range 4 {
+		s.run(sec / 10)
+		s.all(always(gateway.Delivered))
+	}
+	out := s.out
+	assert.Greater(t, out, 2)
+	less := plainFacts()
+	less.Slots, less.Buffer, less.Fleet = 2, 5, 2
+	less.EventTypes = append(less.EventTypes[:2],
+		gateway.EventType{Target: sec, TTL: 20 * sec, Repeat: gateway.Idempotent})
+	learned := s.kinds[0].trickle
+	s.Renew(less)
+	assert.InDelta(t, 500, s.dests[0].shared.stated, 1, "a part of the new fleet's")
+	assert.InDelta(t, learned, s.kinds[0].trickle, 1e-9)
+	s.run(sec / 10)
+	assert.Empty(t, s.h.rejected, "what is beyond the new buffer drains")
+	s.all(always(gateway.TimedOut))
+	assert.Len(t, s.h.dead, out, "taken as at-most-once, each ends so")
+	s.run(sec / 10)
+	assert.LessOrEqual(t, s.out, 2)
+	s.take(99, 2, 0)
+	assert.Equal(t, gateway.Idempotent, s.held[99].evt.Repeat)
+	s.Renew(f)
+	s.take(100, 2, 0)
+	assert.Equal(t, gateway.AtMostOnce, s.held[100].evt.Repeat, "the way back is the same step")
+	assert.Equal(t, 8, s.Slots)
+}
--- a/control/state.go
+++ b/control/state.go
@@ -21,6 +21,7 @@
 	turn      int
 	held      map[gateway.WebhookID]*webhook
 	open      int // webhooks that are owed an answer
+	drains    int // of them, held when the facts changed: they end by themselves
 	out       int // calls out
 	sickOut   int // of them, to sick routes
 	dests     map[gateway.DestinationID]*destination
@@ -117,11 +118,8 @@
 	refused   int            // refusals in a row
 	okAt      gateway.Micros // last delivery
 	sick      bool
-	loose     bool    // the last call went by the trickle
-	left      float64 // share of the limit
-	limit     float64 // calls a second of the whole fleet; 0 until told
-	toldAt    gateway.Micros
-	fullAt    gateway.Micros
+	loose     bool           // the last call went by the trickle
+	room      float64        // calls a second of the limit that were left when last told
 	told      bool           // stated is from reports
 	tryAt     gateway.Micros // sick: next canary
 	coldSince gateway.Micros // first success after an outage, or never
@@ -131,7 +129,6 @@
 type kind struct {
 	gateway.Kind
 	trickle float64        // calls a second that a route with a tiny part is let
-	left    float64        // share of the limit that reports tell is left, smoothed
 	crowded gateway.Micros // until then it counts as short of connections
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,11 +135,12 @@
 	Resume(id WebhookID, evt EventTypeID, tenant TenantID, key Key, ttl Micros, dest DestinationID,
 		attempts int, mayRun Micros, zone ZoneID) // of an earlier life; mayRun: first attempt that may have run
 	Outcome(id WebhookID, ep EndpointID, what Outcome, took Micros, ended bool, wait Micros)
-	// Reported takes a load report, some time old and not exact, before the outcome it came with: the share of the
-	// limit that is left, and the calls a second that the limit allows the whole fleet; 0 where there is none.
+	// Reported takes a load report, some time old and not exact, before the outcome it came with: the share of
+	// the limit that is left, and the calls a second that it allows the whole fleet; 0 where there is none.
 	Reported(ep EndpointID, left, limit float64)
 	Withdrawn(id WebhookID)
 	Wake(timer TimerID)
+	Renew(f Facts) // of a running dispatcher: indexes of lists in Facts keep what they stood for
 	TurnOver()
 }
 
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -24,6 +24,30 @@
 	return read(seed, readPairs(text))
 }
 
+// Fits tells whether settings can take the place of others in a running dispatcher. Webhooks held or owed in
+// the journal say by its place of which event type and tenant they are: a name keeps its place, new ones
+// follow the last, and only the last may go. A kind's routes can't be parted or joined while calls are out.
+func Fits(was, now gateway.Facts, wasNames, nowNames Names) error {
+	for _, l := range []struct {
+		key      string
+		was, now []string
+	}{{"classes", wasNames.EventTypes, nowNames.EventTypes}, {"tenants", wasNames.Tenants, nowNames.Tenants},
+		{"kinds", wasNames.Kinds, nowNames.Kinds}, {"zones", wasNames.Zones, nowNames.Zones}} {
+		for i := range min(len(l.was), len(l.now)) {
+			if l.was[i] != l.now[i] {
+				return fmt.Errorf("settings %s.%d: %q stands where %q stood: a name keeps its place,"+
+					" new ones follow the last", l.key, i, l.now[i], l.was[i])
+			}
+		}
+	}
+	for i := range min(len(was.Kinds), len(now.Kinds)) {
+		if was.Kinds[i].Apart != now.Kinds[i].Apart {
+			return fmt.Errorf("settings familyInfo.kindApart.%d can't change in a running process", i)
+		}
+	}
+	return nil
+}
+
 // FromJSON reads them as nested JSON, and the time after which an idle connection to an endpoint is closed.
 func FromJSON(seed uint64, settings gjson.Result) (gateway.Facts, Names, gateway.Micros, error) {
 	p := &pairs{values: map[string]string{}}
@@ -125,7 +149,10 @@
 	return min(p.count(key+".count"), len(p.values))
 }
 
-// Reports are the places, in an endpoint's load report, of the share of its limit that is left and of the limit;
+// weightSources is what weightSource may say; left out, lists state no rates.
+var weightSources = []string{"", "silent", "nominal", "rough", "live"}
+
+// Reports are the places, in a load report, of the share of the limit that is left and of the limit;
 // -1 where reports don't hold it.
 func Reports(text string) (left, limit int) {
 	names := readPairs(text).list("reporting.names")
@@ -147,6 +174,9 @@
 	if p.flag("limits.retryAfter") {
 		f.MaxAdvice = p.under("limits.maxRetryAfter")
 	}
+	if w := p.values["weightSource"]; p.err == nil && !slices.Contains(weightSources, w) {
+		p.err = fmt.Errorf("setting weightSource: %q is none of silent, nominal, rough, live", w)
+	}
 	batches, apart := p.list("familyInfo.batchByKind"), p.list("familyInfo.kindApart")
 	for i := range p.list("kinds") {
 		k := gateway.Kind{Batch: 1}
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -34,3 +34,25 @@
 	assert.Equal(t, []string{"", "b"}, names.EventTypes)
 	assert.Equal(t, gateway.Tokened, f.EventTypes[1].Repeat)
 }
+
+func TestNamesKeepTheirPlacesInARunningDispatcher(t *testing.T) {
+	was := Names{EventTypes: []string{"a", "b"}, Kinds: []string{"k"}}
+	facts := gateway.Facts{Kinds: []gateway.Kind{{Batch: 1}}}
+	assert.NoError(t, Fits(facts, facts, was, was))
+	assert.NoError(t, Fits(facts, facts, was, Names{EventTypes: []string{"a"}, Kinds: []string{"k", "l"}}))
+	assert.ErrorContains(t, Fits(facts, facts, was, Names{EventTypes: []string{"b", "a"}}), `classes.0: "b"`)
+	apart := gateway.Facts{Kinds: []gateway.Kind{{Batch: 1, Apart: true}}}
+	assert.ErrorContains(t, Fits(facts, apart, was, was), "kindApart.0")
+}
+
+func TestABadValueIsNamedWithItsKey(t *testing.T) {
+	_, err := FromPairs(1, "classes.count=1\nclasses.0.repeat=pure\nweightSource=guessed\n")
+	assert.ErrorContains(t, err, `weightSource: "guessed"`)
+}
+
+func TestPlacesInReportsFollowTheirNames(t *testing.T) {
+	left, limit := Reports("reporting.names=backlog,x1,x0\n")
+	assert.Equal(t, []int{2, 1}, []int{left, limit})
+	left, _ = Reports("reporting.names=\n")
+	assert.Equal(t, -1, left)
+}
--- a/lab/baseline/baseline.go
+++ b/lab/baseline/baseline.go
@@ -160,6 +160,9 @@
 	p.again(w)
 }
 
+// Renew is not heeded: no baseline outlives its facts.
+func (p *Policy) Renew(gateway.Facts) {}
+
 // Reported is not heeded.
 func (p *Policy) Reported(gateway.EndpointID, float64, float64) {}
 
--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -37,18 +37,29 @@
 type Clients struct {
 	x      *exchange.Exchange
 	life   *lifecycle.Life
-	names  facts.Names
-	types  []gateway.EventType
+	terms  atomic.Pointer[terms]
 	server fasthttp.Server
 	most   int          // connections
 	spare  int          // idle ones
 	told   atomic.Int64 // second in which a webhook not understood was last logged
 }
 
+// terms are what webhooks are read by.
+type terms struct {
+	facts.Names
+	types []gateway.EventType
+}
+
+// Renew has webhooks that come from now on read by other settings.
+func (s *Clients) Renew(f gateway.Facts, names facts.Names) {
+	s.terms.Store(&terms{names, f.EventTypes})
+}
+
 // New makes a server that holds at most mostOpen connections, mostIdle of them idle.
 func New(x *exchange.Exchange, life *lifecycle.Life, f gateway.Facts, names facts.Names,
 	mostOpen, mostIdle int) *Clients {
-	s := &Clients{x: x, life: life, names: names, types: f.EventTypes, most: mostOpen, spare: mostIdle}
+	s := &Clients{x: x, life: life, most: mostOpen, spare: mostIdle}
+	s.Renew(f, names)
 	s.server = fasthttp.Server{
 		Handler: s.handle, Name: "rowanlink", MaxRequestBodySize: mostBody,
 		Concurrency: 2 * mostOpen, // the door holds the limit; those that it closed are still winding up
@@ -184,16 +195,16 @@
 	if !plain(id) {
 		return nil, "Request-Id is missing or not plain text"
 	}
-	class := string(h.Peek("Request-Class"))
-	evt := slices.Index(s.names.EventTypes, class)
+	class, by := string(h.Peek("Request-Class")), s.terms.Load()
+	evt := slices.Index(by.EventTypes, class)
 	if class == "" || evt < 0 || evt > math.MaxUint8 {
 		return nil, "Request-Class names no event type"
 	}
-	if token != "" && !plain(token) || token == "" && s.types[evt].Repeat == gateway.Tokened {
+	if token != "" && !plain(token) || token == "" && by.types[evt].Repeat == gateway.Tokened {
 		return nil, "Idempotency-Key is missing or not plain text"
 	}
 	ms, err := strconv.ParseInt(string(h.Peek("Request-Timeout-Ms")), 10, 32)
-	ttl, longest := gateway.Micros(ms)*1000, s.types[evt].TTL
+	ttl, longest := gateway.Micros(ms)*1000, by.types[evt].TTL
 	if err != nil || ms <= 0 || ttl > 2*longest {
 		return nil, "Request-Timeout-Ms is no usable number of milliseconds"
 	}
@@ -204,7 +215,7 @@
 	w = &exchange.Webhook{RequestID: exchange.RequestID(id), Token: exchange.Token(token),
 		Body: bytes.Clone(ctx.PostBody()), Destination: dest,
 		Event: gateway.EventTypeID(evt), Tenant: math.MaxUint32, TTL: now + min(ttl, longest), CameAt: now}
-	if i := slices.Index(s.names.Tenants, string(h.Peek("Tenant"))); i >= 0 {
+	if i := slices.Index(by.Tenants, string(h.Peek("Tenant"))); i >= 0 {
 		w.Tenant = gateway.TenantID(i)
 	}
 	if key := h.Peek("Affinity-Key"); len(key) > 0 {
--- a/node/decider/decider.go
+++ b/node/decider/decider.go
@@ -240,6 +240,16 @@
 	}
 }
 
+// Renew has the module decide by other facts from the next turn on. What is beyond a lower limit drains.
+func (d *Decider) Renew(f gateway.Facts, idleLimit gateway.Micros) {
+	d.x.Tell(func() {
+		f.Buffer, f.Tick = max(f.Buffer, 1), max(f.Tick, 1)
+		d.facts = f
+		d.calls.Renew(f.ConnectTimeout, idleLimit, f.Kinds)
+		d.module.Renew(f)
+	})
+}
+
 // Listed takes a list; addrs are its entries' addresses.
 func (d *Decider) Listed(entries []gateway.Entry, addrs []string, whole bool) {
 	d.x.Lists.Add(1)
--- a/node/endpoints/conn.go
+++ b/node/endpoints/conn.go
@@ -117,7 +117,7 @@
 	defer s.mu.Unlock()
 	for n := len(e.idle); n > 0; n = len(e.idle) {
 		l, e.idle = e.idle[n-1], e.idle[:n-1]
-		if exchange.Now()-l.idleAt < s.idleFor && l.quiet() {
+		if int64(exchange.Now()-l.idleAt) < s.idleFor.Load() && l.quiet() {
 			return l, true
 		}
 		s.close(l)
@@ -153,7 +153,7 @@
 	for _, e := range s.all {
 		kept := e.idle[:0]
 		for _, l := range e.idle {
-			if now-l.idleAt < s.idleFor && l.quiet() {
+			if int64(now-l.idleAt) < s.idleFor.Load() && l.quiet() {
 				kept = append(kept, l)
 			} else {
 				s.close(l)
--- a/node/endpoints/endpoints.go
+++ b/node/endpoints/endpoints.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -26,9 +27,9 @@
 type Endpoints struct {
 	counts         *exchange.Counters
 	came           Came
-	connectTimeout gateway.Micros
-	idleFor        gateway.Micros // an idle link is closed after so long
-	restWithin     gateway.Micros // an answer that has begun is whole after so long
+	connectTimeout atomic.Int64 // µs
+	idleFor        atomic.Int64 // µs; an idle link is closed after so long
+	restWithin     atomic.Int64 // µs; an answer that has begun is whole after so long
 	mostOpen       int
 
 	mu    sync.Mutex
@@ -51,6 +52,7 @@
 	addr   string
 	route  route
 	zone   gateway.ZoneID
+	kind   gateway.KindID
 	bundle int // webhooks in one call at most
 	listed bool
 	gone   bool
@@ -72,6 +74,14 @@
 // the other side does so: a call that crosses its close would end as a reset.
 func New(counts *exchange.Counters, came Came, connectTimeout, idleLimit gateway.Micros,
 	mostOpen int) *Endpoints {
+	s := &Endpoints{counts: counts, came: came, mostOpen: max(mostOpen, 1),
+		all: map[gateway.EndpointID]*endpoint{}, waits: map[route]gateway.Micros{}, out: map[gateway.WebhookID]*call{}}
+	s.Renew(connectTimeout, idleLimit, nil)
+	return s
+}
+
+// Renew takes the settings that calls from now on are made by; those out end under the old ones.
+func (s *Endpoints) Renew(connectTimeout, idleLimit gateway.Micros, kinds []gateway.Kind) {
 	if connectTimeout <= 0 { // none is stated: patience alone ends a connect
 		connectTimeout = math.MaxInt64
 	}
@@ -79,9 +89,16 @@
 	if rest <= 0 { // no limit is stated
 		rest = gateway.Second / 4
 	}
-	return &Endpoints{counts: counts, came: came, connectTimeout: connectTimeout, idleFor: idleLimit * 4 / 5,
-		restWithin: rest, mostOpen: max(mostOpen, 1), all: map[gateway.EndpointID]*endpoint{}, waits: map[route]gateway.Micros{},
-		out: map[gateway.WebhookID]*call{}}
+	s.connectTimeout.Store(int64(connectTimeout))
+	s.idleFor.Store(int64(idleLimit * 4 / 5))
+	s.restWithin.Store(int64(rest))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.all {
+		if int(e.kind) < len(kinds) {
+			e.bundle = max(kinds[e.kind].Batch, 1)
+		}
+	}
 }
 
 // Place notes what the list says of an endpoint.
@@ -90,7 +107,7 @@
 	defer s.mu.Unlock()
 	e := s.all[l.Endpoint]
 	if e == nil {
-		e = &endpoint{id: l.Endpoint, bundle: max(of.Batch, 1), route: route{dest: l.Destination}}
+		e = &endpoint{id: l.Endpoint, kind: l.Kind, bundle: max(of.Batch, 1), route: route{dest: l.Destination}}
 		if of.Apart {
 			e.route = route{l.Destination, l.Endpoint, true}
 		}
@@ -252,7 +269,7 @@
 			var err error
 			s.counts.Connections.Add(1)
 			now := exchange.Now()
-			within := max(min(s.connectTimeout, k.patience-(now-at), k.latest-now), 1)
+			within := max(min(gateway.Micros(s.connectTimeout.Load()), k.patience-(now-at), k.latest-now), 1)
 			if l, err = dial(k.ep.addr, exchange.Span(within)); err != nil {
 				s.mu.Lock()
 				s.open--
@@ -299,7 +316,7 @@
 // answer reads what comes back. Where something came, the call has reached the endpoint: what can't be read
 // then may have run, however it begins, and frees its slot soon, whatever it claims still to come.
 func (s *Endpoints) answer(l *link, k *call, until time.Time) fate {
-	head, err := l.head(until, s.restWithin)
+	head, err := l.head(until, gateway.Micros(s.restWithin.Load()))
 	if len(head) == 0 {
 		if !time.Now().Before(until) { // by the clock: not each error tells a deadline from a broken connection
 			return fate{what: gateway.TimedOut}
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -41,18 +41,18 @@
 
 // Registry is one dispatcher's watch.
 type Registry struct {
-	names      facts.Names
 	listed     Listed
 	broken     func()
 	asks       Asks
 	generation int64
 	ids        map[string]*named
 	last       gateway.EndpointID
-	keepFor    time.Duration // the name of an endpoint that is gone is kept so long
 
-	mu    sync.Mutex
-	addr  string
-	moved chan struct{} // closed when the address is another one
+	mu      sync.Mutex
+	names   facts.Names
+	keepFor time.Duration // the name of an endpoint that is gone is kept so long
+	addr    string
+	moved   chan struct{} // closed when the address is another one
 }
 
 // named is an endpoint's number, never used for another one, and since when it is gone.
@@ -80,6 +80,20 @@
 	}
 }
 
+// Renew has lists that come from now on read by other names; kinds and zones are as the last entries said.
+func (r *Registry) Renew(names facts.Names, keepFor gateway.Micros) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.names, r.keepFor = names, exchange.Span(keepFor)
+}
+
+// by tells what lists are read by now.
+func (r *Registry) by() (facts.Names, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.names, r.keepFor
+}
+
 // place tells where the registry is, and what is closed when that is over.
 func (r *Registry) place() (addr string, moved <-chan struct{}) {
 	r.mu.Lock()
@@ -95,6 +109,7 @@
 	}
 	var entries []gateway.Entry
 	var addrs []string
+	names, _ := r.by()
 	here := map[string]bool{}
 	for _, l := range list.Array() {
 		id, addr, cell := l.Get("instanceId").String(), l.Get("hostPort").String(), l.Get("cell")
@@ -120,8 +135,8 @@
 			rate = 0
 		}
 		entries = append(entries, gateway.Entry{Endpoint: n.id, Standing: standing, Rate: rate,
-			Destination: dest, Kind: gateway.KindID(index(r.names.Kinds, l.Get("machineType"))),
-			Zone: gateway.ZoneID(index(r.names.Zones, l.Get("zone")))})
+			Destination: dest, Kind: gateway.KindID(index(names.Kinds, l.Get("machineType"))),
+			Zone: gateway.ZoneID(index(names.Zones, l.Get("zone")))})
 		addrs = append(addrs, addr)
 	}
 	r.generation = generation.Int()
@@ -134,12 +149,13 @@
 // long they would pile up.
 func (r *Registry) forget(here map[string]bool, whole bool) {
 	now := time.Now()
+	_, keepFor := r.by()
 	for id, n := range r.ids {
 		is, told := here[id]
 		if gone := told && !is || whole && !told; gone && n.gone.IsZero() {
 			n.gone = now
 		}
-		if !n.gone.IsZero() && now.Sub(n.gone) > r.keepFor {
+		if !n.gone.IsZero() && now.Sub(n.gone) > keepFor {
 			delete(r.ids, id)
 		}
 	}
