--- a/benchwire/benchwire_test.go
+++ b/benchwire/benchwire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"math"
 	"strings"
 	"testing"
 
@@ -10,6 +11,7 @@
 
 	"rowanlink/control"
 	"rowanlink/gateway"
+	"rowanlink/internal/facts"
 )
 
 const settings = "classes.count=1\nclasses.0.aim=2000000000\nclasses.0.deadline=9000000000\n" +
@@ -131,3 +133,24 @@
 		assert.NotContains(t, string(out), "goroutine ", "the module panicked")
 	})
 }
+
+// told notes the reports that reach a module.
+type told struct {
+	gateway.Module
+	left, limit float64
+}
+
+func (m *told) Reported(_ gateway.EndpointID, left, limit float64) { m.left, m.limit = left, limit }
+
+func TestAReportReachesTheModuleByItsNamesAndAShortOneTellsNothing(t *testing.T) {
+	m := &told{}
+	in := &instance{module: m}
+	in.left, in.limit = facts.Reports("reporting.names=x1,x0\n")
+	values := binary.LittleEndian.AppendUint32([]byte{2}, math.Float32bits(40))
+	values = binary.LittleEndian.AppendUint32(values, math.Float32bits(0.5))
+	in.report(&fields{left: values}, 1)()
+	assert.Equal(t, []float64{0.5, 40}, []float64{m.left, m.limit})
+	in.report(&fields{left: []byte{0}}, 1)()
+	in.report(&fields{left: values[:5]}, 1)
+	assert.InDelta(t, 0.5, m.left, 1e-9)
+}
