--- a/control/control.go
+++ b/control/control.go
@@ -735,9 +735,10 @@
 		// One endpoint that fails among well ones is left out by itself: the route is sick when none is well. Where
 		// calls are too few to tell, a failure where nothing came back well of late is taken for an outage.
 		well := func(o *endpoint) bool { return o.route == r && o.fails < sickRow }
+		stray := r.failing <= smooth && what != gateway.ConnectFailed // a lone one, by something that answers
 		if !slices.ContainsFunc(e.dest.endpoints, well) {
 			c.sicken(r)
-		} else if !r.sick && (r.failing > sickAt || r.failing > smooth && c.now-r.okAt > c.TipAfter) {
+		} else if !r.sick && (r.failing > sickAt || !stray && c.now-r.okAt > c.TipAfter) {
 			c.chill(r)
 		}
 	}
@@ -822,11 +823,10 @@
 		return
 	}
 	score := func(e *endpoint) float64 {
-		s := e.mean
 		if e.zone != c.Zone { // not first because unmeasured: each call there holds its slot for longer
-			return cmp.Or(s, c.mean) * farBy
+			return cmp.Or(e.mean, c.mean) * farBy
 		}
-		return s
+		return e.mean
 	}
 	slices.SortStableFunc(d.endpoints, func(a, b *endpoint) int { return cmp.Compare(score(a), score(b)) })
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -430,6 +430,12 @@
 		s.now = s.h.now
 		s.judge(s.endpoints[0], gateway.Errored, sec/10, 0)
 		assert.EqualValues(t, never, s.dests[0].shared.coldSince, "one may be a stray")
+		silent := crowd(200)
+		silent.take(1, 0, 0)
+		silent.run(5 * sec)
+		silent.now = silent.h.now
+		silent.judge(silent.endpoints[0], gateway.ConnectFailed, sec, 0)
+		assert.NotEqualValues(t, never, silent.dests[0].shared.coldSince, "who says nothing at all is out")
 		s.judge(s.endpoints[0], gateway.Errored, sec/10, 0)
 		assert.Equal(t, seldom, s.dests[0].shared.coldSince != never)
 	}
