--- a/cmd/rowanlink/main.go
+++ b/cmd/rowanlink/main.go
@@ -29,8 +29,8 @@
 	"rowanlink/node/registry"
 )
 
-// Parts of the limits: of the memory, for the heap; of the descriptors, for clients, of which the usual ones open
-// a third at most, for half of that third idle, and for connections to endpoints.
+// Parts of the limits: of the memory, for the heap; of the descriptors, for clients, of which the usual
+// ones open a third at most, for half of that third idle, and for connections to endpoints.
 const (
 	heapPart   = 0.6
 	clientPart = 0.5
--- a/node/clients/door.go
+++ b/node/clients/door.go
@@ -22,8 +22,8 @@
 	idle  [3]list.List // those that were answered, by how many webhooks they have handed in, longest ago first
 }
 
-// guest is one client's connection. It counts the bytes of each request: guards against a length that says less
-// than what has come, so that a webhook would be cut and its rest read as another request.
+// guest is one client's connection. It counts the bytes of each request: guards against a length that says
+// less than what has come, so that a webhook would be cut and its rest read as another request.
 type guest struct {
 	*net.TCPConn
 	door  *door
@@ -46,8 +46,8 @@
 	return d
 }
 
-// Accept waits for a connection, then for a place. Each webhook handed in is answered within a turn or so, and
-// its place may then be had.
+// Accept waits for a connection, then for a place. Each webhook handed in is answered within a turn or so,
+// and its place may then be had.
 func (d *door) Accept() (net.Conn, error) {
 	c, err := d.Listener.Accept()
 	if err != nil {
@@ -68,8 +68,9 @@
 	return g, nil
 }
 
-// dispensable is who goes first: one silent for long, then of the idle those that handed in no webhook, then one
-// webhook, then more. Guards against crowds that ask once and stay: usual clients use theirs again and again.
+// dispensable is who goes first: one silent for long, then of the idle those that handed in no webhook,
+// then one webhook, then more. Guards against crowds that ask once and stay: usual clients use theirs again
+// and again.
 func (d *door) dispensable() *guest {
 	first := d.mute.Front()
 	if first != nil && exchange.Now()-first.Value.(*guest).since > mayBeMute {
