Register: voters and learners; a vote goes one for one and is handed over before an end by plan

Cause: every core machine voted. A successor joined an even set of four, which needs three answers and bears one loss; where the one that it replaced went for good and another lost its disk before the set was trimmed, no majority was left for good. SIGTERM took no machine out of the set.

Change: as many voters as the losses to be borne ask for (2f+1, three at least), all other core machines are learners that keep the committed record on disk. A learner takes the place of a voter that is absent, a voter that ends by plan hands its vote to a learner that has caught up, and sets grow and shrink by two (seats.go). An order for which the history is too short gets no verdict instead of 412. A change isn't proposed for a caller that has left between the rounds. An endpoint's end is acknowledged once a majority of the voters holds it, no longer by a machine that takes itself for alone or by one copy; a machine that takes most voters for dead sends endpoints on.

--- a/serving/core/absences.go
+++ b/serving/core/absences.go
@@ -32,3 +32,10 @@
 	return slices.ContainsFunc(a.mesh.DownMembers(), holds) || slices.ContainsFunc(a.mesh.LeftMembers(), holds) ||
 		a.now().Sub(a.started) > membership.ForgetSpan
 }
+
+// forgotten tells whether the member at an address went so long ago that nobody remembers it.
+func (a *absences) forgotten(address string) bool {
+	holds := func(member state.Member) bool { return member.Address == address }
+	return a.absent(address) && !slices.ContainsFunc(a.mesh.DownMembers(), holds) &&
+		!slices.ContainsFunc(a.mesh.LeftMembers(), holds)
+}
--- a/serving/core/absences_test.go
+++ b/serving/core/absences_test.go
@@ -32,5 +32,9 @@
 	}
 	a.now = func() time.Time { return started.Add(membership.ForgetSpan + 1) }
 	assert.True(t, a.absent("unknown"), "forgotten")
+	assert.True(t, a.forgotten("unknown"))
+	for _, address := range []string{"live", "down", "left", "again"} {
+		assert.False(t, a.forgotten(address), address)
+	}
 	assert.False(t, a.absent("live"))
 }
--- a/serving/core/keeper.go
+++ b/serving/core/keeper.go
@@ -28,6 +28,7 @@
 	node     *register.Node
 	log      *zerolog.Logger
 	finisher finisher
+	lost     bool // most voters were absent at the last look
 }
 
 // run looks after the register until the context ends.
@@ -39,6 +40,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticks.C:
+			k.reportMajority()
 			k.finish(ctx)
 			k.repair(ctx)
 		}
@@ -58,6 +60,20 @@
 	event.ChangeFinished.Log(k.log).Uint64("accepted", revision).Uint64("in_force", record.Revision).Err(err).Send()
 }
 
+// reportMajority logs when too few voters are left, and when enough are back.
+func (k *keeper) reportMajority() {
+	absent := k.node.AbsentMajority()
+	if k.lost == (absent != nil) {
+		return
+	}
+	k.lost = absent != nil
+	kind := event.MajorityBack
+	if k.lost {
+		kind = event.MajorityLost
+	}
+	kind.Log(k.log).Strs("absent", absent).Send()
+}
+
 func (k *keeper) repair(ctx context.Context) {
 	if !k.mesh.Holder(repairDuty, duty.Scope{Role: state.RoleCore}).Mine {
 		return
@@ -69,12 +85,12 @@
 	}
 }
 
-// coreAddresses are the addresses of the members that may hold replicas.
-func coreAddresses(members []state.Member) (addresses []string) {
+// coreMachines are the members that may hold replicas.
+func coreMachines(members []state.Member) (machines []register.Machine) {
 	for _, member := range members {
 		if member.Role == state.RoleCore {
-			addresses = append(addresses, member.Address)
+			machines = append(machines, register.Machine{Address: member.Address, Zone: member.Zone})
 		}
 	}
-	return addresses
+	return machines
 }
--- a/serving/core/run.go
+++ b/serving/core/run.go
@@ -35,6 +35,8 @@
 	leaveTimeout = 250 * time.Millisecond
 	// finishTimeout bounds the orders that are under way when the process is told to end.
 	finishTimeout = 1500 * time.Millisecond
+	// handOverTimeout bounds the hand-over of the vote, which begins at the same time.
+	handOverTimeout = 2500 * time.Millisecond
 )
 
 // Options of Run.
@@ -93,7 +95,7 @@
 	})
 	(&keeper{mesh: joined, node: node, log: options.Log}).run(ctx)
 	event.ProgramEnding.Log(options.Log).Send()
-	end(joined, control)
+	end(joined, node, control)
 	return nil
 }
 
@@ -103,11 +105,12 @@
 	records := &records{mesh: joined, log: options.Log}
 	node, err := register.Start(ctx, register.NodeOptions{Settings: options.Settings, Storage: storage, Client: client,
 		Mux: inner, Log: options.Log, Committed: records.spread,
-		Members: func() []string { return coreAddresses(joined.Members()) }})
+		Members: func() []register.Machine { return coreMachines(joined.Members()) }})
 	if err != nil {
 		return nil, err
 	}
-	node.SetDown((&absences{mesh: joined, started: time.Now(), now: time.Now}).absent)
+	gone := &absences{mesh: joined, started: time.Now(), now: time.Now}
+	node.SetAbsence(gone.absent, gone.forgotten)
 	records.subscribe(node)
 	return node, nil
 }
@@ -125,16 +128,24 @@
 func controlHandler(options Options, joined *mesh.Mesh, node *register.Node, table *exchange.Exchange) http.Handler {
 	forwarder := &operator.Forwarder{Self: self(options.Settings), Regions: options.Settings.Regions,
 		Members: joined.Members, Clock: time.Now}
-	return operator.New(operator.Options{Register: operator.RegisterOf(node), Endpoints: table.Table(), Spread: table,
+	return operator.New(operator.Options{Register: operator.RegisterOf(node), Endpoints: table.Table(), Spread: table, Voters: node, Self: options.Settings.InnerAddress(),
 		Regions: options.Settings.Regions, Forward: forwarder.Forward, Log: options.Log})
 }
 
-// end finishes the orders under way and bids the other members farewell.
-func end(joined *mesh.Mesh, control *http.Server) {
+// end finishes the orders under way, gives the vote to a learner and bids the other members farewell.
+func end(joined *mesh.Mesh, node *register.Node, control *http.Server) {
 	joined.SetState(state.MemberLeaving)
+	handedOver := make(chan struct{})
+	go func() {
+		defer close(handedOver)
+		bounded, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+		defer cancel()
+		node.HandOver(bounded)
+	}()
 	finishing, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
 	_ = control.Shutdown(finishing) // what is not finished by then ends unanswered, and is sent again elsewhere
+	<-handedOver
 	leaving, stop := context.WithTimeout(context.Background(), leaveTimeout)
 	defer stop()
 	_ = joined.Leave(leaving) // others miss the heartbeats otherwise
--- a/serving/endpoints/exchange/exchange.go
+++ b/serving/endpoints/exchange/exchange.go
@@ -25,7 +25,7 @@
 // Mesh is what is needed of the members' mesh; mesh.Mesh is one.
 type Mesh interface {
 	Put(entry spread.Entry)
-	PutReplicated(ctx context.Context, entry spread.Entry, copies int) error
+	PutReplicated(ctx context.Context, entry spread.Entry, addresses []string, copies int) error
 	Subscribe(table spread.Table, call func(spread.Entry))
 	Members() []state.Member // those that are live
 	Self() state.Member
@@ -98,19 +98,19 @@
 	x.mesh.Put(entry)
 }
 
-// PutReplicated tells the other members and returns when so many hold the endpoint. Errors are the mesh's.
-func (x *Exchange) PutReplicated(ctx context.Context, endpoint state.Endpoint, copies int) error {
+// PutReplicated tells the other members and returns when so many of those at the addresses hold the endpoint. Errors are
+// the mesh's.
+func (x *Exchange) PutReplicated(ctx context.Context, endpoint state.Endpoint, addresses []string, copies int) error {
 	entry, err := entryOf(endpoint)
 	if err != nil {
 		return err
 	}
-	return x.mesh.PutReplicated(ctx, entry, copies)
+	return x.mesh.PutReplicated(ctx, entry, addresses, copies)
 }
 
-// Alone tells whether no other member is known to be live.
-func (x *Exchange) Alone() bool {
-	self := x.mesh.Self().Name
-	return !slices.ContainsFunc(x.mesh.Members(), func(member state.Member) bool { return member.Name != self })
+// Live tells whether the member at an address is known to be live.
+func (x *Exchange) Live(address string) bool {
+	return slices.ContainsFunc(x.mesh.Members(), func(member state.Member) bool { return member.Address == address })
 }
 
 func entryOf(endpoint state.Endpoint) (spread.Entry, error) {
--- a/serving/mesh/mesh.go
+++ b/serving/mesh/mesh.go
@@ -226,5 +226,5 @@
 	if others == 0 {
 		return nil
 	}
-	return m.PutReplicated(ctx, left, min(leaveCopies, others))
+	return m.PutReplicated(ctx, left, nil, min(leaveCopies, others))
 }
--- a/serving/mesh/replicate.go
+++ b/serving/mesh/replicate.go
@@ -14,14 +14,14 @@
 // hedgeDelay is how long a copy may be under way before one more member is asked.
 const hedgeDelay = 120 * time.Millisecond
 
-// PutReplicated takes in an entry, spreads it and returns once so many other members have acknowledged that they
-// have it; core members are asked first. It fails with result.TooFewMembers where not so many are live, and with
+// PutReplicated takes in an entry, spreads it and returns once so many other members, of those at the addresses where
+// any are given, have acknowledged that they have it; core members are asked first. It fails with result.TooFewMembers where not so many are live, and with
 // result.NotAcknowledged where they did not answer before ctx ended or all have failed. The entry is spread in
 // any case.
-func (m *Mesh) PutReplicated(ctx context.Context, entry spread.Entry, copies int) error {
+func (m *Mesh) PutReplicated(ctx context.Context, entry spread.Entry, addresses []string, copies int) error {
 	targets := ask(m, func(now time.Time, n *node) []spread.Peer {
 		n.put(now, entry)
-		return n.replicaTargets()
+		return n.replicaTargets(addresses)
 	})
 	if len(targets) < copies {
 		return result.TooFewMembers.With("%d of %d", len(targets), copies)
@@ -35,8 +35,9 @@
 	return round.wait(calling, copies)
 }
 
-// replicaTargets returns the other live members: core members before others, those of the own region first.
-func (n *node) replicaTargets() []spread.Peer {
+// replicaTargets returns the other live members, of those at the addresses where any are given: core members before
+// others, those of the own region first.
+func (n *node) replicaTargets(addresses []string) []spread.Peer {
 	self := n.members.Self()
 	live := slices.Clone(n.members.Live())
 	n.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
@@ -54,7 +55,7 @@
 	var avoided, targets []spread.Peer
 	for _, member := range live {
 		switch peer := peerOf(member); {
-		case member.Name == self.Name:
+		case member.Name == self.Name, len(addresses) > 0 && !slices.Contains(addresses, member.Address):
 		case n.engine.Avoids(n.current, member.Name):
 			avoided = append(avoided, peer)
 		default:
--- a/serving/operator/endpoints.go
+++ b/serving/operator/endpoints.go
@@ -13,13 +13,11 @@
 	"rowanlink/serving/state"
 )
 
-// copiesNeeded is how many other members must hold an endpoint's closing before it is acknowledged.
-const copiesNeeded = 1
-
 // EndpointsResource takes the calls of endpoints.
 type EndpointsResource struct {
 	endpoints Endpoints
 	spread    Spread
+	quorum    quorum
 	forward   func(id, zone string) string
 	log       *zerolog.Logger
 }
@@ -29,7 +27,9 @@
 	ForwardTo string `json:"forward_to,omitempty"`
 }
 
-// Beat takes a heartbeat. That an endpoint is closing is acknowledged only when another member knows it.
+// Beat takes a heartbeat. That an endpoint is closing is acknowledged only when a majority of the voters knows it. All
+// others are acknowledged while this machine takes a majority for live: one that is cut off sends endpoints on to where
+// the dispatchers hear of them.
 func (e *EndpointsResource) Beat(w http.ResponseWriter, r *http.Request) {
 	body, err := readBody(w, r, heartbeatMost)
 	if err != nil {
@@ -72,21 +72,26 @@
 	writeJSON(w, http.StatusOK, empty)
 }
 
-// tellOthers passes on what others must know. For an endpoint that takes no new requests it returns when another
-// member holds that, or when there is none.
+// tellOthers passes on what others must know. For an endpoint that takes no new requests it returns when a majority of
+// the voters holds that: each dispatcher that is in touch hears it from one of them, and a machine that is cut off
+// acknowledges nothing. Errors are result.NotReplicated.
 func (e *EndpointsResource) tellOthers(ctx context.Context, endpoint state.Endpoint, change endpoints.Change) error {
-	if endpoint.State == state.Accepting || e.spread.Alone() {
+	if endpoint.State == state.Accepting {
 		if change.Spread {
 			e.spread.Put(endpoint)
 		}
-		return nil
+		return e.inTouch(endpoint.ID)
 	}
 	if change.Copied {
 		return nil
 	}
+	others, copies, known := e.quorum.others()
+	if !known {
+		return result.NotReplicated.With("endpoint %s: the voters aren't known yet", endpoint.ID)
+	}
 	limited, cancel := context.WithTimeout(ctx, replicationLimit)
 	defer cancel()
-	if err := e.spread.PutReplicated(limited, endpoint, copiesNeeded); err != nil {
+	if err := e.spread.PutReplicated(limited, endpoint, others, copies); err != nil {
 		event.EndpointNotReplicated.Log(e.log).Str("endpoint", endpoint.ID).Err(err).Send()
 		return result.NotReplicated.With("endpoint %s: %v", endpoint.ID, err)
 	}
@@ -94,6 +99,24 @@
 	return nil
 }
 
+// inTouch returns result.NotReplicated where too few voters are live to make a majority with this machine.
+func (e *EndpointsResource) inTouch(id string) error {
+	others, copies, known := e.quorum.others()
+	if !known {
+		return nil // a start: who is heard first is known first
+	}
+	live := 0
+	for _, address := range others {
+		if e.spread.Live(address) {
+			live++
+		}
+	}
+	if live < copies {
+		return result.NotReplicated.With("endpoint %s: %d of %d voters are live", id, live, copies)
+	}
+	return nil
+}
+
 func (e *EndpointsResource) acknowledge(w http.ResponseWriter, endpoint state.Endpoint) {
 	var answer heartbeatAnswer
 	if e.forward != nil {
--- a/serving/operator/operator.go
+++ b/serving/operator/operator.go
@@ -19,7 +19,7 @@
 const (
 	// orderLimit bounds the work on an operator's call.
 	orderLimit = 2500 * time.Millisecond
-	// replicationLimit bounds the wait until another member holds an endpoint's word. The endpoint waits for a second.
+	// replicationLimit bounds the wait until a majority holds an endpoint's word. The endpoint waits for a second.
 	replicationLimit = 300 * time.Millisecond
 	documentMost     = 8 << 20  // bytes of a configuration
 	heartbeatMost    = 64 << 10 // bytes of a heartbeat
@@ -52,10 +52,15 @@
 type Spread interface {
 	// Put hands an endpoint to the spread and doesn't wait.
 	Put(endpoint state.Endpoint)
-	// PutReplicated does the same and returns when so many other members hold it.
-	PutReplicated(ctx context.Context, endpoint state.Endpoint, copies int) error
-	// Alone tells whether no other member is known to be live.
-	Alone() bool
+	// PutReplicated does the same and returns when so many of the members at the addresses hold it.
+	PutReplicated(ctx context.Context, endpoint state.Endpoint, addresses []string, copies int) error
+	// Live tells whether the member at an address is known to be live.
+	Live(address string) bool
+}
+
+// Voters names the replicas that vote on the record; register.Node is one. The set is empty before it is known.
+type Voters interface {
+	Replicas() state.ReplicaSet
 }
 
 // Options of the control address. All are needed but Forward.
@@ -63,6 +68,8 @@
 	Register  Register
 	Endpoints Endpoints
 	Spread    Spread
+	Voters    Voters
+	Self      string            // address for calls between the system's processes
 	Regions   map[string]string // region by zone: the zones that may be evacuated
 	// Forward names the control address where the endpoint's next heartbeats are to go, empty for none; see Forwarder.
 	Forward func(id, zone string) string
@@ -73,8 +80,8 @@
 func New(options Options) http.Handler {
 	settings := &SettingsResource{register: options.Register, log: options.Log}
 	clearance := &ClearanceResource{register: options.Register, regions: options.Regions, log: options.Log}
-	calls := &EndpointsResource{endpoints: options.Endpoints, spread: options.Spread, forward: options.Forward,
-		log: options.Log}
+	calls := &EndpointsResource{endpoints: options.Endpoints, spread: options.Spread,
+		quorum: quorum{voters: options.Voters, self: options.Self}, forward: options.Forward, log: options.Log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /Settings.Replace", settings.Replace)
 	mux.HandleFunc("GET /Settings.Read", settings.Read)
--- a/serving/register/acceptor.go
+++ b/serving/register/acceptor.go
@@ -9,6 +9,7 @@
 
 	"rowanlink/serving/event"
 	"rowanlink/serving/owner"
+	"rowanlink/serving/state"
 )
 
 // acceptorBacklog is how many requests may wait for the disk. Proposers give up and ask again, so what comes on top
@@ -73,6 +74,15 @@
 	return a.vote(ctx, func(state AcceptorState) step { return state.accept(request) })
 }
 
+// Learn keeps a committed record on disk, for a replica that doesn't vote.
+func (a *Acceptor) Learn(ctx context.Context, record *state.Record) error {
+	if a.saved.Load() == nil {
+		return errNotLoaded
+	}
+	_, err := a.decide(ctx, func(held AcceptorState) step { return held.learn(record) })
+	return err
+}
+
 // Query answers from what is saved, whatever the disk is doing.
 func (a *Acceptor) Query(_ context.Context, request *QueryRequest) (*Vote, error) {
 	state, ok := a.State()
--- a/serving/register/change.go
+++ b/serving/register/change.go
@@ -85,6 +85,9 @@
 	if err != nil {
 		return state.Record{}, failed, err
 	}
+	if ctx.Err() != nil { // whoever gave the order has left meanwhile, or this process stood still
+		return state.Record{}, failed, errGivenUp
+	}
 	established, committed := known.established, votes.committed()
 	if committed {
 		p.commit(votes.highest)
--- a/serving/register/discover.go
+++ b/serving/register/discover.go
@@ -10,8 +10,8 @@
 const discoverLinger = 50 * time.Millisecond
 
 // discover asks the seeds, the members and the known replicas which replicas are in force, and learns what they tell.
-// It returns who is down by this node's or by everybody else's judgement.
-func (n *Node) discover(ctx context.Context) (down func(address string) bool) {
+// It returns who is absent by this node's or by everybody else's judgement.
+func (n *Node) discover(ctx context.Context) (absent func(address string) bool) {
 	addresses := n.acquaintances()
 	answers := make(chan *Description, len(addresses))
 	for _, address := range addresses {
@@ -20,7 +20,7 @@
 	reports := map[string]int{}
 	given := n.gather(ctx, answers, len(addresses), reports)
 	return func(address string) bool {
-		return n.isDown(address) || given > 0 && reports[address] == given
+		return n.isAbsent(address) || given > 0 && reports[address] == given
 	}
 }
 
@@ -64,8 +64,8 @@
 // acquaintances returns the addresses of all processes that may know the replicas, but this one.
 func (n *Node) acquaintances() []string {
 	addresses := seedAddresses(n.settings)
-	if n.members != nil {
-		addresses = append(addresses, n.members()...)
+	for _, machine := range n.machines() {
+		addresses = append(addresses, machine.Address)
 	}
 	for _, replica := range n.Replicas().Replicas {
 		addresses = append(addresses, replica.Address)
--- a/serving/register/doc.go
+++ b/serving/register/doc.go
@@ -11,5 +11,6 @@
 // own where it names no former set, else the former one. See electorate.go.
 //
 // Acceptor (one per process with a disk) votes, Proposer runs changes and reads, Node joins both with the membership
-// of the register. Decisions are free of I/O: step.go, tally.go, knowledge.go, updates.go, join.go.
+// of the register. Decisions are free of I/O: step.go, tally.go, knowledge.go, updates.go,
+// genesis.go, seats.go.
 package register
--- a/serving/register/messages.go
+++ b/serving/register/messages.go
@@ -73,4 +73,7 @@
 type Description struct {
 	Established state.ReplicaSet `cbor:"1,keyasint"`           // empty: none known yet
 	Down        []string         `cbor:"2,keyasint,omitempty"` // addresses of replicas that the process takes for down
+	// Own is the process's own replica where that is a learner which may become a voter; else zero.
+	Own  state.Replica `cbor:"3,keyasint,omitzero"`
+	Held uint64        `cbor:"4,keyasint,omitempty"` // the highest revision that Own has on disk
 }
--- a/serving/register/node.go
+++ b/serving/register/node.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"rowanlink/serving/event"
 	"rowanlink/serving/rpc"
 	"rowanlink/serving/settings"
 	"rowanlink/serving/state"
@@ -25,8 +24,14 @@
 	// Committed is called with each newer record that this process has found to be committed, in order, by changes
 	// and reads of its own. It must not call Change or Read. Revision 0, "nothing yet", is not told.
 	Committed func(state.Record)
-	// Members returns addresses of other processes that may hold replicas, beyond the seeds.
-	Members func() []string
+	// Members returns the live processes that may hold replicas.
+	Members func() []Machine
+}
+
+// Machine is where a process that may hold a replica runs.
+type Machine struct {
+	Address string // host:port for calls between the system's processes
+	Zone    string
 }
 
 // Node is a process's part in the register: its replica, and the changes and reads that it makes.
@@ -34,13 +39,15 @@
 	settings  *settings.Process
 	log       *zerolog.Logger
 	storage   Storage
-	members   func() []string
+	members   func() []Machine
 	transport Transport
 	acceptor  *Acceptor
 	proposer  *Proposer
 	announcer *announcer
-	down      atomic.Pointer[func(string) bool]
-	news      chan struct{} // a newer set of replicas has become known
+	absences  atomic.Pointer[absences]
+	caughtUp  atomic.Bool   // as a learner the replica has read the record from a majority in this life
+	leaving   atomic.Bool   // the replica gives up its vote and takes none any more
+	news      chan struct{} // a newer set of replicas, or for a learner a newer record, has become known
 	stop      context.CancelFunc
 }
 
@@ -101,6 +108,7 @@
 func (n *Node) Learn(record state.Record) {
 	if n.announcer.adopt(record) {
 		n.proposer.learnSet(record.Replicas)
+		n.signal()
 	}
 }
 
@@ -123,29 +131,25 @@
 	return ok && n.Replicas().Contains(own.ReplicaID)
 }
 
-// SetDown sets how the node learns which addresses are down. A replica that is down may be replaced by one that
-// joins, or removed by Repair. A wrong answer costs a replica its place for a while, never the record.
-func (n *Node) SetDown(down func(address string) bool) { n.down.Store(&down) }
+// absences is what a process knows of addresses at which nobody lives.
+type absences struct{ absent, forgotten func(address string) bool }
 
-// isDown tells whether an address is taken for down; none is before SetDown.
-func (n *Node) isDown(address string) bool {
-	down := n.down.Load()
-	return down != nil && (*down)(address)
+// SetAbsence sets how the node learns that no process lives at an address, and that this has been so for so long that
+// nobody knows it any more. The vote of an absent replica may be given to a learner; two that are forgotten may be
+// left out. A wrong answer costs a replica its vote for a while, never the record.
+func (n *Node) SetAbsence(absent, forgotten func(address string) bool) {
+	n.absences.Store(&absences{absent: absent, forgotten: forgotten})
 }
 
-// Repair removes a replica that is down from a set of even size. The holder of the duty calls it now and then; where
-// there is nothing to do it asks nobody. Errors are those of Change.
-func (n *Node) Repair(ctx context.Context) error {
-	before := n.Replicas()
-	if trimmable(before.Replicas, n.isDown) < 0 {
-		return nil
-	}
-	record, err := n.Change(ctx, trim(n.isDown))
-	if err == nil && len(record.Replicas.Replicas) < len(before.Replicas) {
-		event.ReplicaRemoved.Log(n.log).Uint64("epoch", record.Replicas.Epoch).
-			Int("replicas", len(record.Replicas.Replicas)).Send()
-	}
-	return err
+// isAbsent tells whether nobody lives at an address; all are taken for live before SetAbsence.
+func (n *Node) isAbsent(address string) bool {
+	known := n.absences.Load()
+	return known != nil && known.absent(address)
+}
+
+func (n *Node) isForgotten(address string) bool {
+	known := n.absences.Load()
+	return known != nil && known.forgotten(address)
 }
 
 // signal wakes the background work after a newer set of replicas has become known.
--- a/serving/register/round.go
+++ b/serving/register/round.go
@@ -13,6 +13,7 @@
 var (
 	errOutvoted   = errors.New("a higher ballot was promised")
 	errNoMajority = errors.New("no majority answered")
+	errGivenUp    = errors.New("the caller has given up")
 )
 
 // votes is what a round gathers: a tally or an agreement.
--- a/serving/register/server.go
+++ b/serving/register/server.go
@@ -34,8 +34,11 @@
 func (s *server) Describe(context.Context, *DescribeRequest) (*Description, error) {
 	set := s.node.Replicas()
 	description := &Description{Established: set}
+	if own, ok := s.node.learner(); ok {
+		description.Own, description.Held = own.replica, own.held
+	}
 	for _, replica := range set.Replicas {
-		if s.node.isDown(replica.Address) {
+		if s.node.isAbsent(replica.Address) {
 			description.Down = append(description.Down, replica.Address)
 		}
 	}
--- a/serving/register/step.go
+++ b/serving/register/step.go
@@ -1,6 +1,10 @@
 package register
 
-import "github.com/cockroachdb/errors"
+import (
+	"github.com/cockroachdb/errors"
+
+	"rowanlink/serving/state"
+)
 
 // ErrDamaged is what Storage.Load returns where something was saved and can't be read any more. The replica has then
 // lost its disk.
@@ -12,8 +16,14 @@
 	Promised  Ballot
 	Accepted  Ballot // zero: nothing accepted; the record then holds the first set of replicas, or nothing
 	Proposal  Proposal
+	// Learned is the newest committed record that the replica has kept as a learner. It takes part in no vote: as a
+	// voter the replica answers for what it has accepted alone.
+	Learned state.Record
 }
 
+// held returns the highest revision that is on disk, accepted or learned.
+func (s *AcceptorState) held() uint64 { return max(s.Proposal.Record.Revision, s.Learned.Revision) }
+
 // Storage keeps a replica's state on disk.
 type Storage interface {
 	// Load returns what was saved last; found is false where nothing was, as on a new or replaced disk. It may wait for
@@ -66,9 +76,21 @@
 		return step{vote: s.vote(Granted, request.Ballot)}
 	}
 	s.Promised, s.Accepted, s.Proposal = request.Ballot, request.Ballot, request.Proposal
+	if s.Learned.Revision <= s.Proposal.Record.Revision {
+		s.Learned = state.Record{}
+	}
 	return step{next: s, vote: s.vote(Granted, request.Ballot), save: true}
 }
 
+// learn keeps a committed record that is newer than what is held.
+func (s AcceptorState) learn(record *state.Record) step {
+	if record.Revision <= s.held() {
+		return step{}
+	}
+	s.Learned = *record
+	return step{next: s, save: true}
+}
+
 // query answers a QueryRequest.
 func (s AcceptorState) query(request *QueryRequest) Vote {
 	if request.ReplicaID != s.ReplicaID {
--- a/serving/register/takepart.go
+++ b/serving/register/takepart.go
@@ -20,39 +20,66 @@
 	joinWaitMost = time.Second            // what it grows to
 	loadWait     = 200 * time.Millisecond // between tries to read the store
 	complainFrom = 8                      // failed tries in a row after which a line is logged
+	seatInterval = 500 * time.Millisecond // between two looks of a learner for a vote that is free
 )
 
-// takePart loads the replica's state and then sees to it that the replica is a member and knows what is in force:
-// after the start, and whenever a newer set of replicas has become known.
+// takePart loads the replica's state and then sees to it that the replica knows what is in force and has its place, as
+// a voter or a learner: after the start, and whenever a newer set of replicas has become known.
 func (n *Node) takePart(ctx context.Context) {
 	if !n.load(ctx) {
 		return
 	}
-	failures, wait, member := 0, joinWait, false
-	for ctx.Err() == nil {
+	failures, wait, part := 0, joinWait, noPart
+	for ctx.Err() == nil && !n.leaving.Load() {
 		if err := n.settleIn(ctx, failures > 0); err != nil {
 			if failures++; failures == complainFrom {
 				event.ReplicaUnsettled.Log(n.log).Err(err).Send()
 			}
-			member = false
+			part = noPart
 			pause.For(ctx, wait)
 			wait = min(wait*3/2, joinWaitMost)
 			continue
 		}
-		if !n.IsMember() { // replaced meanwhile
-			continue
-		}
-		if !member {
-			own, _ := n.acceptor.State()
-			event.ReplicaJoined.Log(n.log).Str("replica", own.ReplicaID).Uint64("epoch", n.Replicas().Epoch).Send()
-		}
-		failures, wait, member = 0, joinWait, true
-		n.awaitLeaving(ctx)
+		failures, wait = 0, joinWait
+		part = n.report(part)
+		n.awaitNews(ctx, part)
+	}
+}
+
+// part is what a replica does in the register.
+type part uint8
+
+const (
+	noPart  part = iota // not known yet
+	learner             // keeps the committed record, and waits for a vote
+	voter
+)
+
+// report logs what the replica does now where that has changed.
+func (n *Node) report(before part) part {
+	now, kind := learner, event.ReplicaLearns
+	if n.IsMember() {
+		now, kind = voter, event.ReplicaJoined
 	}
+	if now != before {
+		own, _ := n.acceptor.State()
+		kind.Log(n.log).Str("replica", own.ReplicaID).Uint64("epoch", n.Replicas().Epoch).Send()
+	}
+	return now
 }
 
-// awaitLeaving returns when a set of replicas without this one has become known, or the node ends.
-func (n *Node) awaitLeaving(ctx context.Context) {
+// awaitNews returns when a voter has lost its vote, when a learner may have something to do, or when the node ends.
+func (n *Node) awaitNews(ctx context.Context, as part) {
+	if as == learner {
+		timer := time.NewTimer(seatInterval)
+		defer timer.Stop()
+		select {
+		case <-n.news:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		return
+	}
 	for n.IsMember() {
 		select {
 		case <-n.news:
@@ -109,13 +136,13 @@
 	kind.Log(n.log).Str("replica", own.ReplicaID).Uint64("revision", own.Proposal.Record.Revision).Send()
 }
 
-// settleIn makes one try to learn what is in force and to be a member.
+// settleIn makes one try to learn what is in force, and to get a vote where one is to be had.
 func (n *Node) settleIn(ctx context.Context, again bool) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTry)
 	defer cancel()
-	down := n.isDown
+	absent := n.isAbsent
 	if again || len(n.Replicas().Replicas) == 0 {
-		down = n.discover(ctx)
+		absent = n.discover(ctx)
 	}
 	if n.IsMember() {
 		_, err := n.Read(ctx)
@@ -128,7 +155,37 @@
 	if err != nil {
 		return err
 	}
-	_, err = n.Change(ctx, join(own, down))
+	if err := n.catchUp(ctx); err != nil {
+		return err
+	}
+	return n.takeSeat(ctx, own, absent)
+}
+
+// catchUp keeps the newest committed record on disk. Once in each life a learner asks a majority for it, whatever it
+// has on disk; later ones are told to it.
+func (n *Node) catchUp(ctx context.Context) error {
+	if !n.caughtUp.Load() {
+		if _, err := n.Read(ctx); err != nil {
+			return err
+		}
+	}
+	latest, _ := n.Latest()
+	if err := n.acceptor.Learn(ctx, &latest); err != nil {
+		return err
+	}
+	n.caughtUp.Store(true)
+	return nil
+}
+
+// takeSeat makes the own replica a voter where it succeeds one that has lost its disk, or where a voter is absent. All
+// else is left to the holder of the duty, see Repair.
+func (n *Node) takeSeat(ctx context.Context, own state.Replica, absent func(address string) bool) error {
+	seats := n.seating([]state.Replica{own})
+	seats.absent = absent
+	if _, free := seats.nextSeat(n.Replicas().Replicas); !free {
+		return nil
+	}
+	_, err := n.Change(ctx, replaceVoters(seats.nextSeat))
 	return err
 }
 
@@ -140,6 +197,9 @@
 	if own.expelled(n.Replicas()) {
 		event.ReplicaExpelled.Log(n.log).Str("replica", own.ReplicaID).Send()
 		own = AcceptorState{ReplicaID: rand.Text()}
+		if latest, known := n.Latest(); known {
+			own.Learned = latest
+		}
 		// The install may wait for the disk for longer than this try; a second ID must not be drawn meanwhile.
 		if err := n.acceptor.Install(n.proposer.life, own, true); err != nil {
 			return state.Replica{}, err
--- a/serving/register/updates.go
+++ b/serving/register/updates.go
@@ -19,13 +19,16 @@
 
 // ReplaceConfiguration puts a configuration in force that builds on version basedOn (0: on none). The refusals are
 // result.VersionConflict and result.VersionNotAbove. A configuration that already is or was in force, byte for byte,
-// is no change.
+// is no change; where the history is too short to tell, the error is result.RegisterUnclear: what was acknowledged once
+// is never refused.
 func ReplaceConfiguration(basedOn uint64, configuration state.Configuration) Update {
 	return func(record state.Record) (state.Record, error) {
 		current := record.Configuration.Version
 		switch {
 		case record.WasAccepted(configuration.Version, configuration.Digest):
 			return record, ErrNoChange
+		case basedOn != current && configuration.Version <= record.ForgottenVersion:
+			return record, result.RegisterUnclear.With("version %d may have been in force long ago", configuration.Version)
 		case basedOn != current:
 			return record, result.VersionConflict.With("version %d is current, not %d", current, basedOn)
 		case configuration.Version <= current:
@@ -35,6 +38,7 @@
 		accepted := state.Accepted{Version: configuration.Version, Digest: configuration.Digest}
 		record.History = append(slices.Clone(record.History), accepted)
 		if excess := len(record.History) - state.HistoryLimit; excess > 0 {
+			record.ForgottenVersion = record.History[excess-1].Version
 			record.History = record.History[excess:]
 		}
 		return record, nil
--- a/serving/state/record.go
+++ b/serving/state/record.go
@@ -76,7 +76,8 @@
 	Address string `cbor:"2,keyasint"` // host:port for calls between the system's processes
 }
 
-// ReplicaSet is the membership of the register, itself part of the record.
+// ReplicaSet is the voters of the register, itself part of the record. Every other core member is a learner: it keeps
+// the committed record and votes nothing.
 type ReplicaSet struct {
 	Epoch    uint64    `cbor:"1,keyasint"` // one more with each change of membership
 	Replicas []Replica `cbor:"2,keyasint"`
@@ -101,7 +102,9 @@
 	Configuration Configuration `cbor:"2,keyasint"`
 	History       []Accepted    `cbor:"3,keyasint,omitempty"`
 	Evacuations   []Evacuation  `cbor:"4,keyasint,omitempty"`
-	Replicas      ReplicaSet    `cbor:"5,keyasint"`
+	Replicas      ReplicaSet    `cbor:"5,keyasint"` // those that vote
+	// ForgottenVersion is the highest version that History was too short to keep; zero: it holds all.
+	ForgottenVersion uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Evacuated tells whether a zone is evacuated.
--- a/serving/store/database.go
+++ b/serving/store/database.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"rowanlink/serving/register"
+	"rowanlink/serving/state"
 )
 
 // pageBytes is the size of a page of SQLite.
@@ -50,6 +51,13 @@
 type proposalKey struct {
 	replicaID string
 	accepted  register.Ballot
+	learned   uint64 // revision
+}
+
+// storedBody is what the body of a proposal holds: beside it, the record that a learner keeps.
+type storedBody struct {
+	register.Proposal
+	Learned state.Record `cbor:"4,keyasint,omitzero"`
 }
 
 // openDatabase opens or creates the file. Errors that satisfy isDamage mean that it is of no use.
@@ -77,15 +85,17 @@
 		return register.AcceptorState{}, false, errors.Wrap(errDamaged, "checksum of the proposal differs")
 	}
 	saved.Promised.Number, saved.Accepted.Number = uint64(promised), uint64(accepted)
-	if err := cbor.Unmarshal(body, &saved.Proposal); err != nil {
+	var stored storedBody
+	if err := cbor.Unmarshal(body, &stored); err != nil {
 		return register.AcceptorState{}, false, errors.Mark(errors.Wrap(err, "read proposal from store"), errDamaged)
 	}
+	saved.Proposal, saved.Learned = stored.Proposal, stored.Learned
 	return saved, true, nil
 }
 
 // save writes the state in one transaction, which SQLite syncs. The proposal is written only where it is another one.
 func (d *database) save(next *register.AcceptorState) error {
-	key := proposalKey{replicaID: next.ReplicaID, accepted: next.Accepted}
+	key := proposalKey{replicaID: next.ReplicaID, accepted: next.Accepted, learned: next.Learned.Revision}
 	writeBody := !d.writtenKnown || key != d.written
 	d.writtenKnown = false
 	err := d.transact(func() error {
@@ -105,7 +115,7 @@
 }
 
 func (d *database) writeBody(next *register.AcceptorState) error {
-	body, err := cbor.Marshal(&next.Proposal)
+	body, err := cbor.Marshal(&storedBody{Proposal: next.Proposal, Learned: next.Learned})
 	if err != nil {
 		return errors.Wrap(err, "encode proposal")
 	}
