--- a/serving/register/knowledge.go
+++ b/serving/register/knowledge.go
@@ -8,6 +8,7 @@
 	number      uint64           // the highest ballot number seen or used
 	established state.ReplicaSet // the newest set known to be committed; empty: none
 	newest      Candidate        // the highest proposal that some replica has accepted
+	settled     uint64           // the highest epoch of which a committed proposal without a former set was seen
 }
 
 // nextBallot returns a ballot above all that were seen, never used before by this process.
@@ -34,6 +35,15 @@
 	return k.establish(candidate.Proposal.Established())
 }
 
+// committed takes in a proposal that is known to be committed and tells whether it showed a newer established set.
+func (k *knowledge) committed(candidate Candidate) bool {
+	news := k.accepted(candidate)
+	if !candidate.Proposal.setPending() {
+		k.settled = max(k.settled, candidate.Proposal.Record.Replicas.Epoch)
+	}
+	return k.establish(candidate.Proposal.Record.Replicas) || news
+}
+
 // voted takes in what a vote tells and reports whether it showed a newer established set.
 func (k *knowledge) voted(vote *Vote) bool {
 	k.number = max(k.number, vote.Promised.Number, vote.Accepted.Number)
--- a/serving/register/proposer.go
+++ b/serving/register/proposer.go
@@ -97,10 +97,7 @@
 
 // commit takes in a candidate that is known to be committed.
 func (p *Proposer) commit(candidate Candidate) {
-	news, _ := owner.Ask(p.knowledge, func(k *knowledge) bool {
-		news := k.accepted(candidate)
-		return k.establish(candidate.Proposal.Record.Replicas) || news
-	})
+	news, _ := owner.Ask(p.knowledge, func(k *knowledge) bool { return k.committed(candidate) })
 	if news {
 		p.established()
 	}
--- a/serving/register/repair.go
+++ b/serving/register/repair.go
@@ -102,7 +102,11 @@
 	record, err := n.Change(ctx, replaceVoters(func(voters []state.Replica) ([]state.Replica, bool) {
 		return seats.handOver(voters, id)
 	}))
-	return err == nil && !record.Replicas.Contains(id)
+	if err != nil || record.Replicas.Contains(id) {
+		return false
+	}
+	_, err = n.Read(ctx) // nobody may need the former set any more, of which this replica is one
+	return err == nil
 }
 
 // possibleLearners returns the other processes that may hold learners, by address alone, without asking them.
--- a/serving/register/unfinished_test.go
+++ b/serving/register/unfinished_test.go
@@ -1,11 +1,13 @@
 package register
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // finishAll does what a keeper does: a process that has accepted a record and knows nothing of its end reads.
@@ -59,3 +61,37 @@
 	assert.Positive(t, finished)
 	t.Log("acknowledged", acknowledged, "reads", finished)
 }
+
+// TestChangeOfVotersIsSettledByOthers has whoever changes the voters give up at each point of time in turn. While the
+// newest proposal names the former set, a majority of that one is needed too, though its voters may go: whoever has
+// accepted it sees to it that a proposal follows that names the new set alone.
+func TestChangeOfVotersIsSettledByOthers(t *testing.T) {
+	unsettled := 0
+	for point := range 60 {
+		inSimulation(t, 4, func(t *testing.T, s *simulation) {
+			former, _ := s.machines[0].running().node.acceptor.State()
+			successor, _ := s.machines[3].running().node.learner()
+			node := s.machines[1].running().node
+			ctx, cancel := context.WithTimeout(t.Context(), time.Duration(point)*time.Millisecond)
+			defer cancel()
+			_, _ = node.Change(ctx, ReplaceReplica(former.ReplicaID, successor.replica))
+			time.Sleep(100 * time.Millisecond)
+			if s.newestIsPending(t, node) {
+				unsettled++
+			}
+			time.Sleep(400 * time.Millisecond)
+			s.shareRecords()
+			s.finishAll()
+			assert.False(t, s.newestIsPending(t, node), "given up after %d ms", point)
+			assert.Zero(t, s.finishAll(), "and nobody asks any more")
+		})
+	}
+	assert.NotZero(t, unsettled)
+}
+
+// newestIsPending tells whether the newest proposal names a former set of voters.
+func (s *simulation) newestIsPending(t *testing.T, asking *Node) bool {
+	votes, err := asking.proposer.query(t.Context(), time.Second)
+	require.NoError(t, err)
+	return votes.highest.Proposal.setPending()
+}
