Agent: after a start the record is told once a majority of the voters has confirmed it

Cause: whoever a restarted agent met first handed over its record, and the proxy served with it. A core machine that is cut off from the others hands over one from before.

Change: once after its start an agent asks the voters which revision is the newest (a brief query; a set of voters that is out of date leads to the newer ones) and holds its answers back until it has that one, for 3 s at most: without a majority it serves with what it has.

--- a/serving/agent/board.go
+++ b/serving/agent/board.go
@@ -10,6 +10,10 @@
 const (
 	// firstAnswerWait is how long a fresh agent holds an answer back while it knows no record.
 	firstAnswerWait = time.Second
+	// confirmWait is how long it holds one back while a majority of the voters hasn't confirmed that the record that it
+	// was handed is the newest. Whoever handed it over may be cut off from them. Where no majority is there it serves
+	// with what it has in the end.
+	confirmWait = 3 * time.Second
 	// graceReserve is what an agent that waits for its proxy's end leaves of the time before SIGKILL.
 	graceReserve = 300 * time.Millisecond
 )
@@ -21,12 +25,26 @@
 	started  time.Time
 	endBy    time.Time // zero: the agent wasn't told to end
 	endWith  uint64    // incarnation of the proxy whose end the agent waits for
-	released bool      // answers are no longer held back
+	heldBack bool      // answers were held back at the last tick
+	// confirmed says that a majority of the voters was asked, and least is the newest revision that it told.
+	confirmed bool
+	least     uint64
 }
 
-// holdsBack tells whether an answer would say next to nothing because the agent has only just begun.
+// confirm takes in the newest revision that a majority of the voters told after the agent's start.
+func (b *board) confirm(least uint64) {
+	b.confirmed, b.least = true, least
+	b.news.notify()
+}
+
+// holdsBack tells whether an answer would say next to nothing, or might tell a record from before, because the agent has
+// only just begun.
 func (b *board) holdsBack(now time.Time) bool {
-	return b.news.record == nil && now.Sub(b.started) < firstAnswerWait
+	if b.news.record == nil {
+		return now.Sub(b.started) < firstAnswerWait
+	}
+	current := b.confirmed && b.news.revision() >= b.least
+	return !current && now.Sub(b.started) < confirmWait
 }
 
 // tick does what the passing of time asks for: it takes in the counts of proxies and wakes polls that were held back.
@@ -36,10 +54,11 @@
 	if synced {
 		b.news.setSynced()
 	}
-	if !b.released && !b.holdsBack(now) {
-		b.released = true
+	holds := b.holdsBack(now)
+	if b.heldBack && !holds {
 		b.news.notify()
 	}
+	b.heldBack = holds
 }
 
 // proxyState is what other members are to be told.
--- a/serving/agent/run.go
+++ b/serving/agent/run.go
@@ -16,6 +16,7 @@
 	"rowanlink/serving/loads"
 	"rowanlink/serving/mesh"
 	"rowanlink/serving/program"
+	"rowanlink/serving/register"
 	"rowanlink/serving/result"
 	"rowanlink/serving/rpc"
 	"rowanlink/serving/settings"
@@ -65,6 +66,7 @@
 	table := endpoints.NewTable(endpoints.Options{Self: options.Settings.NodeName,
 		BeatInterval: options.Settings.BeatInterval})
 	a := newAgent(options.Settings, options.Log, joined, table)
+	go a.confirm(life, register.AskOver(client))
 	inspect.Serve(inner, a.report)
 	passing := &observations{observer: options.Settings.NodeName, client: client, members: joined.Members,
 		receiver: a.receivers, calls: make(chan struct{}, observeCalls)}
--- a/serving/agent/standing_test.go
+++ b/serving/agent/standing_test.go
@@ -111,6 +111,7 @@
 	process := &settings.Process{NodeName: "n1-1", Regions: someRegions, Bounds: settings.Bounds{Grace: grace}}
 	table := endpoints.NewTable(endpoints.Options{Self: "n1-1", BeatInterval: time.Second})
 	a := newAgent(process, &log, fake, table)
+	a.board.Tell(func(b *board) { b.confirm(0) })
 	noted := make(chan []state.Observation, 100)
 	return &standing{agent: a, mesh: fake, noted: noted,
 		server: &feedServer{board: a.board, now: time.Now, announce: a.announce,
--- a/serving/event/agent.go
+++ b/serving/event/agent.go
@@ -10,4 +10,5 @@
 	AgentSynced         = define(803, zerolog.InfoLevel, "agent has caught up with the mesh")
 	LeaveUnheard        = define(804, zerolog.WarnLevel, "no member could be told that this one has left")
 	LoadDuty            = define(805, zerolog.InfoLevel, "duty of reading the loads of the zone's endpoints taken or given up")
+	RecordUnconfirmed   = define(806, zerolog.WarnLevel, "no majority of the voters has confirmed the record after the start; serving with what other members told")
 )
--- a/serving/register/messages.go
+++ b/serving/register/messages.go
@@ -34,6 +34,8 @@
 	ReplicaID string `cbor:"1,keyasint"`
 	Known     Ballot `cbor:"2,keyasint"`
 	Epoch     uint64 `cbor:"3,keyasint"`
+	// Brief asks for the revision of what was accepted in place of the proposal.
+	Brief bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Verdict is a replica's answer in short.
@@ -63,6 +65,10 @@
 	Proposal *Proposal `cbor:"4,keyasint,omitempty"` // of Accepted; nil where the proposer knows it or there is none
 	// Established is the newest set that the voter knows to be established, where it is newer than the request's.
 	Established *state.ReplicaSet `cbor:"5,keyasint,omitempty"`
+	// Revision and Proposed answer a brief query: the revision of what was accepted, and its set of replicas where that
+	// is newer than the request's.
+	Revision uint64            `cbor:"6,keyasint,omitempty"`
+	Proposed *state.ReplicaSet `cbor:"7,keyasint,omitempty"`
 }
 
 // DescribeRequest asks a process for the replicas that it knows.
--- a/serving/register/step.go
+++ b/serving/register/step.go
@@ -96,5 +96,12 @@
 	if request.ReplicaID != s.ReplicaID {
 		return Vote{Verdict: Stranger}
 	}
-	return s.vote(Granted, request.Known)
+	if !request.Brief {
+		return s.vote(Granted, request.Known)
+	}
+	vote := Vote{Verdict: Granted, Promised: s.Promised, Accepted: s.Accepted, Revision: s.Proposal.Record.Revision}
+	if proposed := s.Proposal.Record.Replicas; proposed.Epoch > request.Epoch {
+		vote.Proposed = &proposed
+	}
+	return vote
 }
