--- a/internal/harddays/draw.go
+++ b/internal/harddays/draw.go
@@ -27,7 +27,11 @@
 func writeDay(text *strings.Builder, from *site, chance *rand.Rand, given *arguments, number int) {
 	fmt.Fprintf(text, "%s\nname = \"hard-%d-%d\"\nslot = \"trouble\"\nseed = %d\n", dayHeader, given.Seed, number, chance.Int63n(1e9))
 	fmt.Fprintf(text, "one = 0.9\nzero = 0.0\ngoal = { floor = 0.05 }\nlabels = []\nwall = 20.0\nlight = true\n")
-	fmt.Fprintf(text, "closing = %s\n", drawClosing(chance))
+	closing := drawClosing
+	if given.Control {
+		closing = drawControlClosing
+	}
+	fmt.Fprintf(text, "closing = %s\n", closing(chance))
 	plan, faults := drawTroubles(from, chance, given)
 	writeList(text, "plan", plan)
 	writeList(text, "faults", faults)
@@ -39,7 +43,7 @@
 func drawTroubles(from *site, chance *rand.Rand, given *arguments) (plan, faults []string) {
 	moments := drawMoments(from, chance)
 	many := given.Least + chance.Intn(given.Most-given.Least+1)
-	choice := allowedKinds(given.Calm)
+	choice := allowedKinds(given)
 	for range many {
 		at := moments[chance.Intn(len(moments))] + chance.Float64()*meetingSpan
 		kind := pick(chance, choice)
@@ -73,11 +77,16 @@
 	text.WriteString("]\n")
 }
 
-// allowedKinds are the kinds that a day may draw from: all, or only those that leave the core and the machines in touch.
-func allowedKinds(calm bool) []kind {
+// allowedKinds are the kinds that a day may draw from: all or those of the control side, and only those that leave the
+// core and the machines in touch where that is asked for.
+func allowedKinds(given *arguments) []kind {
+	choice := kinds
+	if given.Control {
+		choice = controlKinds
+	}
 	var allowed []kind
-	for _, one := range kinds {
-		if !calm || !one.shakes {
+	for _, one := range choice {
+		if !given.Calm || !one.shakes {
 			allowed = append(allowed, one)
 		}
 	}
--- a/internal/harddays/harddays_test.go
+++ b/internal/harddays/harddays_test.go
@@ -32,7 +32,15 @@
 func TestDaysCanBeParsedAndStayInTheirTime(t *testing.T) {
 	from, err := parseSite([]byte(exampleSite))
 	require.NoError(t, err)
-	text := from.deployment + drawDays(from, &arguments{Seed: 1, Days: 200, Least: 3, Most: 8})
+	for _, control := range []bool{false, true} {
+		text := from.deployment + drawDays(from, &arguments{Seed: 1, Days: 200, Least: 3, Most: 8, Control: control})
+		requireDaysInTheirTime(t, from, text)
+	}
+}
+
+// requireDaysInTheirTime parses the days and looks at when their troubles come and at how many kinds there are.
+func requireDaysInTheirTime(t *testing.T, from *site, text string) {
+	t.Helper()
 	type entry struct {
 		At   float64
 		Kind string
--- a/internal/harddays/main.go
+++ b/internal/harddays/main.go
@@ -16,14 +16,15 @@
 
 // arguments are the command line.
 type arguments struct {
-	Site  string  `help:"Site file whose deployment is taken." required:""`
-	Out   string  `help:"File to write; the files beside the site file that it needs are copied next to it." required:""`
-	Seed  int64   `help:"The same seed draws the same days." default:"1"`
-	Days  int     `help:"How many days." default:"30"`
-	Least int     `help:"Fewest troubles in a day." default:"5"`
-	Most  int     `help:"Most troubles in a day." default:"10"`
-	Calm  bool    `help:"Leave the core and the links in peace: rules with a time bound then hold throughout."`
-	Long  float64 `help:"Seconds of traffic, in place of the file's own." default:"0"`
+	Site    string  `help:"Site file whose deployment is taken." required:""`
+	Out     string  `help:"File to write; the files beside the site file that it needs are copied next to it." required:""`
+	Seed    int64   `help:"The same seed draws the same days." default:"1"`
+	Days    int     `help:"How many days." default:"30"`
+	Least   int     `help:"Fewest troubles in a day." default:"5"`
+	Most    int     `help:"Most troubles in a day." default:"10"`
+	Calm    bool    `help:"Leave the core and the links in peace: rules with a time bound then hold throughout."`
+	Control bool    `help:"Draw the troubles of the control side alone, each in all its variants."`
+	Long    float64 `help:"Seconds of traffic, in place of the file's own." default:"0"`
 }
 
 func main() {
