--- a/serving/register/repair.go
+++ b/serving/register/repair.go
@@ -17,6 +17,8 @@
 	candidatesMost = 16
 	// handOverWait is the time between two tries to give the own vote to a learner.
 	handOverWait = 100 * time.Millisecond
+	// voteCheckLimit bounds the question of a learner that ends whether it has a vote.
+	voteCheckLimit = 500 * time.Millisecond
 )
 
 // candidate is a learner that may become a voter.
@@ -75,22 +77,36 @@
 }
 
 // HandOver gives the own vote to a learner before the process ends by plan. It returns at once where the replica has
-// no vote or no other process could take it, else when that is done or the context ends. The replica takes part in
-// nothing new afterwards; what it has accepted it still answers for.
-func (n *Node) HandOver(ctx context.Context) {
+// no vote or no other process could take it, else when that is done or the context ends; true where the replica surely
+// has no vote, so that its machine may go for good. The replica takes part in nothing new afterwards; what it has
+// accepted it still answers for.
+func (n *Node) HandOver(ctx context.Context) bool {
 	n.leaving.Store(true)
-	own, _ := n.acceptor.State()
-	if !n.IsMember() {
-		return
+	own, loaded := n.acceptor.State()
+	if !loaded || len(n.Replicas().Replicas) == 0 {
+		return false
+	}
+	if !n.IsMember() && n.surelyLearner(ctx) {
+		return true
 	}
 	for len(n.possibleLearners()) > 0 && ctx.Err() == nil {
 		if n.handOver(ctx, own.ReplicaID) {
 			event.VoteHandedOver.Log(n.log).Str("replica", own.ReplicaID).Send()
-			return
+			return true
 		}
 		pause.For(ctx, handOverWait)
 	}
 	event.VoteKept.Log(n.log).Str("replica", own.ReplicaID).Send()
+	return false
+}
+
+// surelyLearner asks a majority whether the own replica has no vote: it may have been given one just now.
+func (n *Node) surelyLearner(ctx context.Context) bool {
+	bounded, cancel := context.WithTimeout(ctx, voteCheckLimit)
+	defer cancel()
+	record, err := n.Read(bounded)
+	own, _ := n.acceptor.State()
+	return err == nil && !record.Replicas.Contains(own.ReplicaID)
 }
 
 // handOver makes one try and tells whether the replica has no vote any more.
