--- a/proof/system/node_test.go
+++ b/proof/system/node_test.go
@@ -106,3 +106,32 @@
 	n.log.Note("wipe")
 	require.NoError(n.t, os.RemoveAll(n.store))
 }
+
+// peakMemory is the most memory that the process has had resident, in kilobytes.
+func (n *node) peakMemory() (kilobytes int) {
+	n.t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.PID()))
+	require.NoError(n.t, err)
+	for line := range strings.Lines(string(status)) {
+		if rest, found := strings.CutPrefix(line, "VmHWM:"); found {
+			_, err := fmt.Sscanf(rest, "%d kB", &kilobytes)
+			require.NoError(n.t, err)
+		}
+	}
+	return kilobytes
+}
+
+// diskUsed is the size of the files on the node's disk, in kilobytes.
+func (n *node) diskUsed() (kilobytes int) {
+	if n.store == "" {
+		return 0
+	}
+	files, err := os.ReadDir(n.store)
+	require.NoError(n.t, err)
+	for _, file := range files {
+		if info, err := file.Info(); err == nil {
+			kilobytes += int(info.Size() >> 10)
+		}
+	}
+	return kilobytes
+}
--- a/serving/register/proposer.go
+++ b/serving/register/proposer.go
@@ -95,13 +95,16 @@
 	return &change{id: ChangeID{Proposer: p.id, Sequence: p.sequence}, update: update}
 }
 
-// commit takes in a candidate that is known to be committed.
+// commit takes in a candidate that is known to be committed. A change of the voters is told only once nobody needs the
+// former set any more: whoever sees the new one may end those that were replaced.
 func (p *Proposer) commit(candidate Candidate) {
 	news, _ := owner.Ask(p.knowledge, func(k *knowledge) bool { return k.committed(candidate) })
 	if news {
 		p.established()
 	}
-	p.announcer.announce(candidate.Proposal.Record)
+	if !candidate.Proposal.setPending() {
+		p.announcer.announce(candidate.Proposal.Record)
+	}
 }
 
 // learnVote takes in what a replica has told.
--- a/serving/register/unfinished_test.go
+++ b/serving/register/unfinished_test.go
@@ -78,6 +78,8 @@
 			time.Sleep(100 * time.Millisecond)
 			if s.newestIsPending(t, node) {
 				unsettled++
+				latest, _ := node.Latest()
+				assert.True(t, latest.Replicas.Contains(former.ReplicaID), "a change that isn't settled isn't told")
 			}
 			time.Sleep(400 * time.Millisecond)
 			s.shareRecords()
