Contact with a majority in one place; a member that is cut off judges nobody else's endpoints; a zone's verdict needs every zone outside

Cause: with the other zones seen as down, the smaller side of a cut takes the duty of judging endpoints and would mark those of the others as gone after 30 s; at the cut's end these marks would reach everybody for a moment. The zones' verdict could rest on one zone that hears nothing while another one has no watcher there (TestTroublesEnd).

--- /dev/null
+++ b/serving/contact/contact.go
@@ -0,0 +1,46 @@
+// Package contact tells whether a process is in touch with a majority of the register's voters, by what the failure
+// detector says: a hint that costs no call. What must hold for certain asks the voters themselves.
+package contact
+
+import "rowanlink/serving/state"
+
+// Voters names the replicas that vote on the record; register.Node is one. The set is empty before it is known.
+type Voters interface {
+	Replicas() state.ReplicaSet
+}
+
+// Contact is what a process with a replica knows of the voters.
+type Contact struct {
+	Voters Voters
+	Self   string // address for calls between the system's processes
+	// Live tells whether the member at an address is known to be live.
+	Live func(address string) bool
+}
+
+// Others returns the addresses of the other voters, and how many of them this process needs for a majority. It returns
+// false while the voters are unknown.
+func (c *Contact) Others() (addresses []string, needed int, known bool) {
+	set := c.Voters.Replicas()
+	needed = set.Quorum()
+	for _, voter := range set.Replicas {
+		if voter.Address == c.Self {
+			needed--
+			continue
+		}
+		addresses = append(addresses, voter.Address)
+	}
+	return addresses, needed, len(set.Replicas) > 0
+}
+
+// InTouch tells whether enough voters are live to make a majority with this process; true while the voters are unknown,
+// as at a start.
+func (c *Contact) InTouch() bool {
+	others, needed, known := c.Others()
+	live := 0
+	for _, address := range others {
+		if c.Live(address) {
+			live++
+		}
+	}
+	return !known || live >= needed
+}
--- a/serving/core/run.go
+++ b/serving/core/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"rowanlink/serving/contact"
 	"rowanlink/serving/endpoints/exchange"
 	"rowanlink/serving/event"
 	"rowanlink/serving/inspect"
@@ -80,14 +81,16 @@
 		return err
 	}
 	defer node.Close()
-	table := exchange.Start(life, joined, process.BeatInterval, options.Log)
+	touch := &contact.Contact{Voters: node, Self: process.InnerAddress(), Live: joined.LiveAt}
+	table := exchange.Start(life, exchange.Options{Mesh: joined, BeatInterval: process.BeatInterval,
+		InTouch: touch.InTouch, Log: options.Log})
 	table.Serve(inner)
 	kept := store.OpenEndpoints(process.StoreDir, options.Log)
 	defer kept.Close()
 	go keepEndpoints(life, options, node, table, kept)
 	inspect.Serve(inner, (&reporter{mesh: joined, node: node, endpoints: table.Table()}).report)
 
-	control := serve(controlListener, operator.NewServer(controlHandler(options, joined, node, table)))
+	control := serve(controlListener, operator.NewServer(controlHandler(options, joined, node, table, touch)))
 	defer control.Close()
 	joined.SetState(state.MemberReady)
 	go settings.Watch(life, options.SettingsPath, settings.WatchInterval, func(process *settings.Process) {
@@ -125,10 +128,11 @@
 }
 
 // controlHandler answers operators and endpoints.
-func controlHandler(options Options, joined *mesh.Mesh, node *register.Node, table *exchange.Exchange) http.Handler {
+func controlHandler(options Options, joined *mesh.Mesh, node *register.Node, table *exchange.Exchange,
+	touch *contact.Contact) http.Handler {
 	forwarder := &operator.Forwarder{Self: self(options.Settings), Regions: options.Settings.Regions,
 		Members: joined.Members, Clock: time.Now}
-	return operator.New(operator.Options{Register: operator.RegisterOf(node), Endpoints: table.Table(), Spread: table, Voters: node, Self: options.Settings.InnerAddress(),
+	return operator.New(operator.Options{Register: operator.RegisterOf(node), Endpoints: table.Table(), Spread: table, Contact: touch,
 		Regions: options.Settings.Regions, Forward: forwarder.Forward, Log: options.Log})
 }
 
--- a/serving/endpoints/exchange/exchange.go
+++ b/serving/endpoints/exchange/exchange.go
@@ -39,11 +39,21 @@
 	log   *zerolog.Logger
 }
 
-// Start makes a table and keeps it in touch with the mesh until ctx ends. The interval is the one between two
-// heartbeats of an endpoint.
-func Start(ctx context.Context, mesh Mesh, interval time.Duration, log *zerolog.Logger) *Exchange {
-	options := endpoints.Options{Self: mesh.Self().Name, BeatInterval: interval, Judges: judgesBy(mesh)}
-	x := &Exchange{mesh: mesh, table: endpoints.Start(options, time.Now), log: log}
+// Options of an exchange.
+type Options struct {
+	Mesh         Mesh
+	BeatInterval time.Duration // between two heartbeats of an endpoint
+	// InTouch tells whether this member is in touch with a majority of the voters.
+	InTouch func() bool
+	Log     *zerolog.Logger
+}
+
+// Start makes a table and keeps it in touch with the mesh until ctx ends.
+func Start(ctx context.Context, options Options) *Exchange {
+	mesh := options.Mesh
+	table := endpoints.Options{Self: mesh.Self().Name, BeatInterval: options.BeatInterval,
+		Judges: judgesBy(mesh, options.InTouch)}
+	x := &Exchange{mesh: mesh, table: endpoints.Start(table, time.Now), log: options.Log}
 	mesh.Subscribe(spread.TableEndpoints, x.take)
 	go x.run(ctx)
 	return x
@@ -108,11 +118,6 @@
 	return x.mesh.PutReplicated(ctx, entry, addresses, copies)
 }
 
-// Live tells whether the member at an address is known to be live.
-func (x *Exchange) Live(address string) bool {
-	return slices.ContainsFunc(x.mesh.Members(), func(member state.Member) bool { return member.Address == address })
-}
-
 func entryOf(endpoint state.Endpoint) (spread.Entry, error) {
 	value, err := endpoints.Encode(endpoint)
 	if err != nil {
@@ -124,14 +129,15 @@
 }
 
 // judgesBy tells whether this member judges the endpoints of a receiver: its own, and as the holder of the duty those
-// of a receiver that isn't live.
-func judgesBy(mesh Mesh) func(receiver string) bool {
+// of a receiver that isn't live. A member that is cut off from the voters takes the others for dead and the duty for
+// its own; the endpoints that it doesn't hear may be well.
+func judgesBy(mesh Mesh, inTouch func() bool) func(receiver string) bool {
 	self := mesh.Self().Name
 	return func(receiver string) bool {
 		if receiver == self {
 			return true
 		}
 		live := slices.ContainsFunc(mesh.Members(), func(member state.Member) bool { return member.Name == receiver })
-		return !live && mesh.Holder(JudgeDuty, duty.Scope{Role: state.RoleCore}).Mine
+		return !live && inTouch() && mesh.Holder(JudgeDuty, duty.Scope{Role: state.RoleCore}).Mine
 	}
 }
--- a/serving/endpoints/exchange/exchange_test.go
+++ b/serving/endpoints/exchange/exchange_test.go
@@ -28,6 +28,7 @@
 
 // fakeMesh gives back each entry to those who subscribe, as the mesh does.
 type fakeMesh struct {
+	cutOff     bool
 	live       []state.Member
 	mine       bool
 	subscriber func(spread.Entry)
@@ -67,14 +68,13 @@
 	log := zerolog.Nop()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	return Start(ctx, f, time.Second, &log)
+	return Start(ctx, Options{Mesh: f, BeatInterval: time.Second, InTouch: func() bool { return !f.cutOff }, Log: &log})
 }
 
 func TestSilentAndLostEndpointsAreTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeMesh{live: []state.Member{{Name: "core-1", Address: "a:1"}}}
 		x := start(t, f)
-		assert.True(t, x.Live("a:1"))
 		endpoint, _, _ := x.Table().Beat("e", endpoints.Beat{Service: "s", Address: "x:1", Sequence: 3})
 		x.Put(endpoint)
 		time.Sleep(5 * time.Second)
@@ -96,16 +96,18 @@
 	for _, point := range []struct {
 		name       string
 		live, mine bool
+		cutOff     bool
 		told       int
-	}{{"receiver lives", true, true, 0}, {"duty elsewhere", false, false, 0}, {"own duty", false, true, 1}} {
+	}{{"receiver lives", true, true, false, 0}, {"duty elsewhere", false, false, false, 0},
+		{"own duty", false, true, false, 1}, {"own duty, and cut off", false, true, true, 0}} {
 		t.Run(point.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := &fakeMesh{live: []state.Member{{Name: "core-1"}, {Name: "core-3"}}, mine: point.mine}
+				f := &fakeMesh{live: []state.Member{{Name: "core-1"}, {Name: "core-3"}}, mine: point.mine,
+					cutOff: point.cutOff}
 				if point.live {
 					f.live = append(f.live, state.Member{Name: "core-2"})
 				}
-				x := start(t, f)
-				assert.False(t, x.Live("b:1"))
+				start(t, f)
 				entry, err := entryOf(state.Endpoint{ID: "e", Service: "s", Receiver: "core-2", Sequence: 4})
 				require.NoError(t, err)
 				f.subscriber(entry)
--- a/serving/membership/judge_zones.go
+++ b/serving/membership/judge_zones.go
@@ -7,23 +7,28 @@
 
 // judgeZones marks all members of zones as down that the own zone can't reach any more. In a zone that is cut off,
 // members elsewhere have watchers that nobody there hears, and count as voters all the same; some are watched by
-// such members alone. So the greatest set of other zones is looked for of which nobody outside the set hears
-// anything: every member that is watched from outside is suspected by the majority of those watchers, and each zone
-// has such a member.
+// such members alone. So a set of other zones is looked for of which nobody outside the set hears anything: every
+// member that is watched from outside is suspected by the majority of those watchers, and each zone outside has such a
+// watcher in each zone of the set. Where a zone outside has none, it might hear what the others don't.
 func (t *Table) judgeZones(now time.Time) {
 	if len(t.suspicions) == 0 {
 		return
 	}
 	suspected := t.suspected()
 	unreachable := t.otherZones()
-	for removed := true; removed; {
-		removed = false
+	for {
+		var heard []string
 		for zone := range unreachable {
 			if !t.zoneUnheard(zone, unreachable, suspected) {
-				delete(unreachable, zone)
-				removed = true
+				heard = append(heard, zone)
 			}
 		}
+		if len(heard) == 0 {
+			break
+		}
+		for _, zone := range heard {
+			delete(unreachable, zone)
+		}
 	}
 	for _, member := range slices.Clone(t.Live()) {
 		if unreachable[member.Zone] {
@@ -42,10 +47,10 @@
 	return zones
 }
 
-// zoneUnheard tells whether some live member of the zone has live watchers outside of the unreachable zones, and each
-// that has them is suspected by their majority.
+// zoneUnheard tells whether each zone outside of the unreachable ones has a watcher in this one, and each member with
+// watchers outside is suspected by their majority.
 func (t *Table) zoneUnheard(zone string, unreachable map[string]bool, suspected map[string][]string) bool {
-	watched := false
+	silent := map[string]bool{} // zones outside that have a watcher here who hears nothing
 	for _, member := range t.Live() {
 		if member.Zone != zone {
 			continue
@@ -58,12 +63,17 @@
 			voters++
 			if slices.Contains(suspected[member.Name], watcher.member.Name) {
 				votes++
+				silent[watcher.member.Zone] = true
 			}
 		}
 		if voters > 0 && 2*votes <= voters {
 			return false
 		}
-		watched = watched || voters > 0
 	}
-	return watched
+	for _, member := range t.Live() {
+		if !unreachable[member.Zone] && !silent[member.Zone] {
+			return false
+		}
+	}
+	return true
 }
--- a/serving/mesh/mesh.go
+++ b/serving/mesh/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -165,6 +166,11 @@
 	return ask(m, func(_ time.Time, n *node) bool { return n.members.Down(name) })
 }
 
+// LiveAt tells whether the member at an address is known to be live.
+func (m *Mesh) LiveAt(address string) bool {
+	return slices.ContainsFunc(m.Members(), func(member state.Member) bool { return member.Address == address })
+}
+
 // Self returns the own member as the others know it.
 func (m *Mesh) Self() state.Member {
 	return ask(m, func(_ time.Time, n *node) state.Member { return n.members.Self() })
--- a/serving/operator/core_test.go
+++ b/serving/operator/core_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"rowanlink/serving/contact"
 	"rowanlink/serving/endpoints/exchange"
 	"rowanlink/serving/mesh"
 	"rowanlink/serving/operator"
@@ -100,10 +101,12 @@
 	node, err := register.Start(ctx, register.NodeOptions{Settings: process, Storage: &memoryStorage{}, Client: client,
 		Mux: mux, Log: &log, Committed: func(state.Record) {}, Members: func() []register.Machine { return nil }})
 	require.NoError(t, err)
-	linked := exchange.Start(ctx, joined, process.BeatInterval, &log)
+	touch := &contact.Contact{Voters: node, Self: process.InnerAddress(), Live: joined.LiveAt}
+	linked := exchange.Start(ctx, exchange.Options{Mesh: joined, BeatInterval: process.BeatInterval,
+		InTouch: touch.InTouch, Log: &log})
 	forwarder := &operator.Forwarder{Self: self, Regions: process.Regions, Members: joined.Members, Clock: time.Now}
 	handler := operator.New(operator.Options{Register: operator.RegisterOf(node), Endpoints: linked.Table(),
-		Spread: linked, Voters: node, Self: process.InnerAddress(), Regions: process.Regions, Forward: forwarder.Forward, Log: &log})
+		Spread: linked, Contact: touch, Regions: process.Regions, Forward: forwarder.Forward, Log: &log})
 	c := &core{name: process.NodeName, handler: handler, exchange: linked, inner: inner}
 	c.stop = func() {
 		stop()
--- a/serving/operator/endpoints.go
+++ b/serving/operator/endpoints.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"rowanlink/serving/contact"
 	"rowanlink/serving/endpoints"
 	"rowanlink/serving/event"
 	"rowanlink/serving/result"
@@ -17,7 +18,7 @@
 type EndpointsResource struct {
 	endpoints Endpoints
 	spread    Spread
-	quorum    quorum
+	contact   *contact.Contact
 	forward   func(id, zone string) string
 	log       *zerolog.Logger
 }
@@ -80,12 +81,15 @@
 		if change.Spread {
 			e.spread.Put(endpoint)
 		}
-		return e.inTouch(endpoint.ID)
+		if !e.contact.InTouch() {
+			return result.NotReplicated.With("endpoint %s: too few voters are live", endpoint.ID)
+		}
+		return nil
 	}
 	if change.Copied {
 		return nil
 	}
-	others, copies, known := e.quorum.others()
+	others, copies, known := e.contact.Others()
 	if !known {
 		return result.NotReplicated.With("endpoint %s: the voters aren't known yet", endpoint.ID)
 	}
@@ -99,24 +103,6 @@
 	return nil
 }
 
-// inTouch returns result.NotReplicated where too few voters are live to make a majority with this machine.
-func (e *EndpointsResource) inTouch(id string) error {
-	others, copies, known := e.quorum.others()
-	if !known {
-		return nil // a start: who is heard first is known first
-	}
-	live := 0
-	for _, address := range others {
-		if e.spread.Live(address) {
-			live++
-		}
-	}
-	if live < copies {
-		return result.NotReplicated.With("endpoint %s: %d of %d voters are live", id, live, copies)
-	}
-	return nil
-}
-
 func (e *EndpointsResource) acknowledge(w http.ResponseWriter, endpoint state.Endpoint) {
 	var answer heartbeatAnswer
 	if e.forward != nil {
--- a/serving/operator/fakes_test.go
+++ b/serving/operator/fakes_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"rowanlink/serving/contact"
 	"rowanlink/serving/endpoints"
 	"rowanlink/serving/state"
 )
@@ -82,7 +83,7 @@
 	return nil
 }
 
-func (f *fakeSpread) Live(address string) bool { return !f.dead[address] }
+func (f *fakeSpread) live(address string) bool { return !f.dead[address] }
 
 // fakeVoters is a set of voters.
 type fakeVoters []string
@@ -109,7 +110,8 @@
 	f.table = endpoints.Start(endpoints.Options{Self: "core-1", BeatInterval: time.Second}, time.Now)
 	t.Cleanup(f.table.Stop)
 	log := zerolog.Nop()
-	f.handler = New(Options{Register: f.register, Endpoints: f.table, Spread: f.spread, Voters: f.voters, Self: "core-1",
+	f.handler = New(Options{Register: f.register, Endpoints: f.table, Spread: f.spread,
+		Contact: &contact.Contact{Voters: f.voters, Self: "core-1", Live: f.spread.live},
 		Regions: map[string]string{"z1": "r1"}, Forward: func(_, zone string) string { return zone + ":1" }, Log: &log})
 	return f
 }
--- a/serving/operator/operator.go
+++ b/serving/operator/operator.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"rowanlink/serving/contact"
 	"rowanlink/serving/endpoints"
 	"rowanlink/serving/result"
 	"rowanlink/serving/state"
@@ -54,13 +55,6 @@
 	Put(endpoint state.Endpoint)
 	// PutReplicated does the same and returns when so many of the members at the addresses hold it.
 	PutReplicated(ctx context.Context, endpoint state.Endpoint, addresses []string, copies int) error
-	// Live tells whether the member at an address is known to be live.
-	Live(address string) bool
-}
-
-// Voters names the replicas that vote on the record; register.Node is one. The set is empty before it is known.
-type Voters interface {
-	Replicas() state.ReplicaSet
 }
 
 // Options of the control address. All are needed but Forward.
@@ -68,8 +62,7 @@
 	Register  Register
 	Endpoints Endpoints
 	Spread    Spread
-	Voters    Voters
-	Self      string            // address for calls between the system's processes
+	Contact   *contact.Contact
 	Regions   map[string]string // region by zone: the zones that may be evacuated
 	// Forward names the control address where the endpoint's next heartbeats are to go, empty for none; see Forwarder.
 	Forward func(id, zone string) string
@@ -81,7 +74,7 @@
 	settings := &SettingsResource{register: options.Register, log: options.Log}
 	clearance := &ClearanceResource{register: options.Register, regions: options.Regions, log: options.Log}
 	calls := &EndpointsResource{endpoints: options.Endpoints, spread: options.Spread,
-		quorum: quorum{voters: options.Voters, self: options.Self}, forward: options.Forward, log: options.Log}
+		contact: options.Contact, forward: options.Forward, log: options.Log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /Settings.Replace", settings.Replace)
 	mux.HandleFunc("GET /Settings.Read", settings.Read)
