--- /dev/null
+++ b/serving/rpc/repeat_test.go
@@ -0,0 +1,112 @@
+package rpc
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rowanlink/serving/state"
+)
+
+var measure = Method[state.Endpoint, state.Load]{Procedure: "/rowanlink.test.v1/Measure"}
+
+// breakingServer reads requests and breaks each connection off in place of the answer of the given number.
+func breakingServer(t *testing.T, breakAt int32, reset bool) (address string, requests *atomic.Int32) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	requests = &atomic.Int32{}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveUntilBroken(connection.(*net.TCPConn), breakAt, reset, requests)
+		}
+	}()
+	return listener.Addr().String(), requests
+}
+
+func serveUntilBroken(connection *net.TCPConn, breakAt int32, reset bool, requests *atomic.Int32) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if requests.Add(1) == breakAt {
+			if reset {
+				_ = connection.SetLinger(0)
+			}
+			return
+		}
+		// An empty CBOR map is a whole answer.
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Type: application/cbor\r\nContent-Length: 1\r\n\r\n\xa0")
+	}
+}
+
+// A call whose answer doesn't come is not made again by the client, neither on a new connection nor on one that was
+// kept: whoever called decides.
+func TestNothingIsSentTwice(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		breakAt int32
+		reset   bool
+	}{
+		{"closed on a new connection", 1, false}, {"reset on a new connection", 1, true},
+		{"closed on a kept connection", 2, false}, {"reset on a kept connection", 2, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			address, requests := breakingServer(t, test.breakAt, test.reset)
+			client := NewClient()
+			defer client.Close()
+			for number := int32(1); number <= test.breakAt; number++ {
+				_, err := measure.Call(t.Context(), client, address, &state.Endpoint{ID: "e"})
+				assert.Equal(t, number == test.breakAt, err != nil, "%v", err)
+			}
+			assert.Equal(t, test.breakAt, requests.Load())
+		})
+	}
+}
+
+// A call that was given up has its answer late; the next call gets its own.
+func TestLateAnswerMeetsNoOtherCall(t *testing.T) {
+	mux := http.NewServeMux()
+	release := make(chan struct{})
+	measure.Serve(mux, func(_ context.Context, endpoint *state.Endpoint) (*state.Load, error) {
+		if endpoint.ID == "late" {
+			<-release
+		}
+		return &state.Load{EndpointID: endpoint.ID}, nil
+	})
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	client := NewClient()
+	defer client.Close()
+	_, err := measure.Call(t.Context(), client, address, &state.Endpoint{ID: "before"})
+	require.NoError(t, err, "a connection is kept")
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = measure.Call(ctx, client, address, &state.Endpoint{ID: "late"})
+	require.Error(t, err)
+	close(release)
+	for range 20 {
+		load, err := measure.Call(t.Context(), client, address, &state.Endpoint{ID: "next"})
+		require.NoError(t, err)
+		assert.Equal(t, "next", load.EndpointID)
+	}
+}
