--- a/serving/mesh/mesh.go
+++ b/serving/mesh/mesh.go
@@ -208,11 +208,6 @@
 	return ask(m, func(now time.Time, n *node) duty.Holding { return n.holder(now, name, scope) })
 }
 
-// Admit tells whether an order given under a duty's epoch is to be followed.
-func (m *Mesh) Admit(name string, epoch uint64) bool {
-	return ask(m, func(_ time.Time, n *node) bool { return n.duties.Admit(name, epoch) })
-}
-
 // Claims returns the newest claim of every duty.
 func (m *Mesh) Claims() []duty.Claim {
 	return ask(m, func(_ time.Time, n *node) []duty.Claim { return n.duties.Claims() })
--- a/serving/register/updates.go
+++ b/serving/register/updates.go
@@ -64,49 +64,5 @@
 	}
 }
 
-// AddReplica adds a member to the register.
-func AddReplica(replica state.Replica) Update {
-	return func(record state.Record) (state.Record, error) {
-		if record.Replicas.Contains(replica.ID) {
-			return record, ErrNoChange
-		}
-		record.Replicas.Replicas = append(slices.Clone(record.Replicas.Replicas), replica)
-		return record, nil
-	}
-}
-
-// ReplaceReplica puts a member in the place of another. Where that one isn't a member, it is only added.
-func ReplaceReplica(formerID string, replica state.Replica) Update {
-	return func(record state.Record) (state.Record, error) {
-		if record.Replicas.Contains(replica.ID) {
-			return record, ErrNoChange
-		}
-		record.Replicas.Replicas = append(without(record.Replicas.Replicas, formerID), replica)
-		return record, nil
-	}
-}
-
-// RemoveReplica takes a member out of the register. The last one stays.
-func RemoveReplica(id string) Update {
-	return func(record state.Record) (state.Record, error) {
-		left := without(record.Replicas.Replicas, id)
-		if len(left) == len(record.Replicas.Replicas) || len(left) == 0 {
-			return record, ErrNoChange
-		}
-		record.Replicas.Replicas = left
-		return record, nil
-	}
-}
-
-func without(replicas []state.Replica, id string) []state.Replica {
-	left := make([]state.Replica, 0, len(replicas))
-	for _, replica := range replicas {
-		if replica.ID != id {
-			left = append(left, replica)
-		}
-	}
-	return left
-}
-
 // unchanged is the update that only makes sure that what is newest is committed.
 func unchanged(record state.Record) (state.Record, error) { return record, ErrNoChange }
