--- a/serving/membership/table.go
+++ b/serving/membership/table.go
@@ -66,13 +66,15 @@
 	departed   map[string]departure
 	suspicions map[suspicionID]Suspicion
 	watched    map[string]*watch
-	ring       []*known            // members on the ring by place; nil: to be made anew
-	sorted     []state.Member      // live members by name; nil: to be made anew
-	zones      []zonePlace         // that have members on the ring, by name
-	watchStale bool                // the ring has changed since the watched members were looked up
-	unjudged   bool                // words, members or watchers have changed since the last judgement
-	watchers   map[string][]*known // as far as looked up since the ring changed
-	wordCount  uint64              // of the own suspicions and withdrawals
+	ring       []*known             // members on the ring by place; nil: to be made anew
+	sorted     []state.Member       // live members by name; nil: to be made anew
+	zones      []zonePlace          // that have members on the ring, by name
+	watchStale bool                 // the ring has changed since the watched members were looked up
+	unjudged   bool                 // words, members or watchers have changed since the last judgement
+	watchers   map[string][]*known  // as far as looked up since the ring changed
+	contacts   map[string]time.Time // by zone: when a call or an answer from it came last
+	doubts     map[string]time.Time // by zone: since when it seems to be out of reach
+	wordCount  uint64               // of the own suspicions and withdrawals
 	lastTick   time.Time
 	late       time.Duration // how late this process has lately been with its own plans
 	refutedAt  time.Time
@@ -101,6 +103,8 @@
 		suspicions: map[suspicionID]Suspicion{},
 		watched:    map[string]*watch{},
 		watchers:   map[string][]*known{},
+		contacts:   map[string]time.Time{},
+		doubts:     map[string]time.Time{},
 		lastTick:   now,
 	}
 	t.Merge(now, options.Self)
--- a/serving/mesh/answers.go
+++ b/serving/mesh/answers.go
@@ -12,11 +12,17 @@
 	n.step(now, func() {
 		response.Heard = n.hear(request.Beat)
 		response.Differs = n.engine.NoteSummary(now, request.Beat.Name, request.Summary)
-		n.engine.Responsive(request.Beat.Name)
+		n.contacted(request.Beat.Name)
 	})
 	return response
 }
 
+// contacted notes that a call of a member, or its answer to one, has come.
+func (n *node) contacted(name string) {
+	n.engine.Responsive(name)
+	n.members.Contacted(n.current, name)
+}
+
 // hear takes in a sign of life. A member that was forgotten is told to speak with a higher sequence.
 func (n *node) hear(beat membership.Heartbeat) membership.Heard {
 	heard := n.members.Hear(n.current, beat)
@@ -30,7 +36,7 @@
 // receive takes in a message.
 func (n *node) receive(now time.Time, message spread.Message) (response pushResponse) {
 	n.step(now, func() {
-		n.engine.Responsive(message.From)
+		n.contacted(message.From)
 		n.engine.Receive(now, message)
 		response.Wanted = n.engine.Wanted(now, message.Offers)
 	})
@@ -40,6 +46,7 @@
 // compare answers the first call of a repair.
 func (n *node) compare(now time.Time, request *compareRequest) (response compareResponse) {
 	n.step(now, func() {
+		n.contacted(request.Beat.Name)
 		response.Heard = n.hear(request.Beat)
 		response.Listings = n.engine.List(request.Digest)
 	})
@@ -79,7 +86,7 @@
 
 // beatAnswered takes in a watcher's answer.
 func (n *node) beatAnswered(now time.Time, from string, response *heartbeatResponse) (own *spread.Entry) {
-	n.engine.Responsive(from)
+	n.step(now, func() { n.contacted(from) })
 	n.engine.NoteDifference(now, from, response.Differs)
 	return n.heard(now, response.Heard)
 }
@@ -94,6 +101,7 @@
 
 // compared takes in the answer to the first call of a repair and returns the second one.
 func (n *node) compared(now time.Time, from string, response *compareResponse) (request transferRequest, needed bool) {
+	n.step(now, func() { n.contacted(from) })
 	own := n.heard(now, response.Heard)
 	request.Heard = n.members.Answered(from)
 	request.From = n.members.Self().Name
--- a/serving/mesh/calls.go
+++ b/serving/mesh/calls.go
@@ -115,7 +115,7 @@
 		err = c.sendWanted(envelope, response.Wanted)
 	}
 	if err == nil {
-		c.mesh.do(func(_ time.Time, n *node) { n.engine.Responsive(envelope.To.Name) })
+		c.mesh.do(func(now time.Time, n *node) { n.step(now, func() { n.contacted(envelope.To.Name) }) })
 		return
 	}
 	c.failed(envelope.To.Name)
--- a/serving/mesh/node.go
+++ b/serving/mesh/node.go
@@ -37,6 +37,7 @@
 	beatCount   uint64
 	remoteAgain bool // a heartbeat to another region was lost: the next ones go there too
 	probe       time.Time
+	doubt       time.Time
 	report      time.Time
 	reported    int
 }
--- a/serving/mesh/tick.go
+++ b/serving/mesh/tick.go
@@ -11,8 +11,9 @@
 
 // Times of a node's routine.
 const (
-	probeInterval  = time.Second // between two attempts to reach a member that is down
-	reportInterval = time.Second // least time between two log lines on the number of members
+	probeInterval  = time.Second            // between two attempts to reach a member that is down
+	doubtInterval  = 250 * time.Millisecond // between two attempts to reach zones that are in doubt
+	reportInterval = time.Second            // least time between two log lines on the number of members
 	idleInterval   = membership.HeartbeatInterval
 )
 
@@ -46,6 +47,7 @@
 		}
 		n.planRepair(&todo)
 		n.planProbe(&todo)
+		n.planDoubt(&todo)
 		n.planSeed(&todo)
 		n.settle()
 		todo.pushes = n.engine.Outgoing(now)
@@ -128,6 +130,23 @@
 	todo.repairs = append(todo.repairs, repairCall{to: target, request: n.compareRequest(nil)})
 }
 
+// planDoubt tries to reach members of zones that seem to be out of reach, one of each zone at a time.
+func (n *node) planDoubt(todo *actions) {
+	if n.current.Before(n.schedule.doubt) || n.members.Self().State == state.MemberLeft {
+		return
+	}
+	n.schedule.doubt = n.current.Add(doubtInterval)
+	doubted := n.members.Doubted()
+	n.random.Shuffle(len(doubted), func(i, j int) { doubted[i], doubted[j] = doubted[j], doubted[i] })
+	tried := map[string]bool{}
+	for _, member := range doubted {
+		if !tried[member.Zone] {
+			tried[member.Zone] = true
+			todo.repairs = append(todo.repairs, repairCall{to: peerOf(member), request: n.compareRequest(nil)})
+		}
+	}
+}
+
 // planSeed calls a seed while nobody is known, or one that is not known as a member.
 func (n *node) planSeed(todo *actions) {
 	if n.members.Self().State == state.MemberLeft || n.current.Before(n.seeds.due) {
@@ -187,6 +206,9 @@
 			next = due
 		}
 	}
+	if n.members.InDoubt() && n.members.Self().State != state.MemberLeft && n.schedule.doubt.Before(next) {
+		next = n.schedule.doubt
+	}
 	joining := len(n.members.Live()) == 1 || n.current.Sub(n.seeds.since) < joinSpan
 	if len(n.seeds.addresses) > 0 && n.seeds.due.Before(next) && joining {
 		next = n.seeds.due
