--- a/serving/agent/confirm_test.go
+++ b/serving/agent/confirm_test.go
@@ -74,7 +74,9 @@
 				go s.agent.confirm(t.Context(), test.voters.ask)
 				s.mesh.deliver(t, spread.TableRecord, state.Record{Revision: 5, Replicas: votersAt(1, "a", "b", "c")})
 				poll := s.poll(t.Context(), waiting(feed.Cursor{}, state.MemberStarting))
-				time.Sleep(time.Second)
+				time.Sleep(500 * time.Millisecond)
+				s.mesh.deliver(t, spread.TableRecord, state.Record{Revision: 6, Replicas: votersAt(1, "a", "b", "c")})
+				time.Sleep(500 * time.Millisecond)
 				s.mesh.deliver(t, spread.TableRecord, state.Record{Revision: 7, Replicas: votersAt(1, "a", "b", "c")})
 				got := <-poll
 				require.NoError(t, got.err)
--- a/serving/register/knowledge.go
+++ b/serving/register/knowledge.go
@@ -8,7 +8,6 @@
 	number      uint64           // the highest ballot number seen or used
 	established state.ReplicaSet // the newest set known to be committed; empty: none
 	newest      Candidate        // the highest proposal that some replica has accepted
-	settled     uint64           // the highest epoch of which a committed proposal without a former set was seen
 }
 
 // nextBallot returns a ballot above all that were seen, never used before by this process.
@@ -38,9 +37,6 @@
 // committed takes in a proposal that is known to be committed and tells whether it showed a newer established set.
 func (k *knowledge) committed(candidate Candidate) bool {
 	news := k.accepted(candidate)
-	if !candidate.Proposal.setPending() {
-		k.settled = max(k.settled, candidate.Proposal.Record.Replicas.Epoch)
-	}
 	return k.establish(candidate.Proposal.Record.Replicas) || news
 }
 
