--- a/serving/register/voters_test.go
+++ b/serving/register/voters_test.go
@@ -139,3 +139,53 @@
 		assert.Equal(t, uint64(40), held.Learned.Configuration.Version)
 	})
 }
+
+// The losses to be borne are raised and lowered again in the settings, machine after machine: the voters grow and shrink
+// by two, and nothing is lost.
+func TestVotersGrowAndShrinkWithTheSettings(t *testing.T) {
+	inSimulation(t, 3, func(t *testing.T, s *simulation) {
+		require.NoError(t, s.replace(s.machines[0], 1, 0, 1))
+		for range 2 {
+			added := s.addNext()
+			added.started = true
+			added.start()
+		}
+		for version, losses := range []int{2, 1} {
+			s.losses = losses
+			for _, m := range s.all() {
+				m.crash()
+				m.start()
+				time.Sleep(200 * time.Millisecond)
+			}
+			s.awaitSettled(joinBound)
+			assert.Len(t, s.machines[0].running().node.Replicas().Replicas, 2*losses+1)
+			require.NoError(t, s.replace(s.machines[4], 1, uint64(version+1), uint64(version+2)))
+		}
+	})
+}
+
+// Two seeds make an even set; the first learner makes it odd.
+func TestFewerSeedsThanVotersWanted(t *testing.T) {
+	inSimulation(t, 3, func(t *testing.T, s *simulation) {
+		first := s.machines[0].running().node
+		_, err := first.Change(t.Context(), RemoveReplica(first.Replicas().Replicas[2].ID))
+		require.NoError(t, err)
+		require.Len(t, first.Replicas().Replicas, 2)
+		s.awaitSettled(2 * joinBound)
+		assert.Len(t, first.Replicas().Replicas, 3)
+	})
+}
+
+// A majority that is gone is told by the addresses of those that are missed.
+func TestLostMajorityIsTold(t *testing.T) {
+	inSimulation(t, 3, func(t *testing.T, s *simulation) {
+		node := s.machines[0].running().node
+		s.machines[1].crash()
+		assert.Empty(t, node.AbsentMajority(), "two are left")
+		s.machines[2].crash()
+		assert.ElementsMatch(t, []string{s.machines[1].address, s.machines[2].address}, node.AbsentMajority())
+		s.startAll()
+		s.awaitSettled(joinBound)
+		assert.Empty(t, node.AbsentMajority())
+	})
+}
