Register: one learner goes for a free vote, and few machines are asked who votes

Change: the learner that fits best tries; all else is the duty's. Beside seeds and voters eight machines are asked.

--- a/serving/register/discover.go
+++ b/serving/register/discover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -9,6 +10,10 @@
 // discoverLinger is how long further answers are awaited after the first that names replicas.
 const discoverLinger = 50 * time.Millisecond
 
+// acquaintancesMost bounds how many machines beyond seeds and voters are asked at once: where no majority is there, all
+// ask again and again.
+const acquaintancesMost = 8
+
 // discover asks the seeds, the members and the known replicas which replicas are in force, and learns what they tell.
 // It returns who is absent by this node's or by everybody else's judgement.
 func (n *Node) discover(ctx context.Context) (absent func(address string) bool) {
@@ -61,11 +66,13 @@
 	return description
 }
 
-// acquaintances returns the addresses of all processes that may know the replicas, but this one.
+// acquaintances returns the addresses of processes that may know the replicas, but this one: seeds, voters, and some of
+// the other machines by chance.
 func (n *Node) acquaintances() []string {
 	addresses := seedAddresses(n.settings)
-	for _, machine := range n.machines() {
-		addresses = append(addresses, machine.Address)
+	machines := n.machines()
+	for _, number := range rand.Perm(len(machines))[:min(len(machines), acquaintancesMost)] {
+		addresses = append(addresses, machines[number].Address)
 	}
 	for _, replica := range n.Replicas().Replicas {
 		addresses = append(addresses, replica.Address)
--- a/serving/register/takepart.go
+++ b/serving/register/takepart.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -177,14 +178,19 @@
 	return nil
 }
 
-// takeSeat makes the own replica a voter where it succeeds one that has lost its disk, or where a voter is absent. All
-// else is left to the holder of the duty, see Repair.
+// takeSeat makes the own replica a voter where it succeeds one that has lost its disk, or where a voter is absent and
+// this learner is the one that fits best: of many learners that try at once, each would outvote the others. All else is
+// left to the holder of the duty, see Repair.
 func (n *Node) takeSeat(ctx context.Context, own state.Replica, absent func(address string) bool) error {
-	seats := n.seating([]state.Replica{own})
-	seats.absent = absent
-	if _, free := seats.nextSeat(n.Replicas().Replicas); !free {
+	all := n.seating(n.possibleLearners())
+	all.absent = absent
+	next, free := all.nextSeat(n.Replicas().Replicas)
+	fits := func(voter state.Replica) bool { return voter.ID == own.ID }
+	if !free || !slices.ContainsFunc(next, fits) {
 		return nil
 	}
+	seats := n.seating([]state.Replica{own})
+	seats.absent = absent
 	_, err := n.Change(ctx, replaceVoters(seats.nextSeat))
 	return err
 }
--- a/serving/register/voters_test.go
+++ b/serving/register/voters_test.go
@@ -189,3 +189,34 @@
 		assert.Empty(t, node.AbsentMajority())
 	})
 }
+
+// Of many learners one goes for a vote that is free, not all at once.
+func TestOneOfManyLearnersTakesAFreeVote(t *testing.T) {
+	inSimulation(t, 3, func(t *testing.T, s *simulation) {
+		for range 12 {
+			added := s.addNext()
+			added.started = true
+			added.start()
+		}
+		s.awaitSettled(joinBound)
+		before := s.changesBegun()
+		s.machines[1].crash()
+		time.Sleep(joinBound)
+		set := s.machines[0].running().node.Replicas()
+		assert.Len(t, set.Replicas, 3)
+		assert.Empty(t, absentVoters(s.machines[0].running().node))
+		assert.LessOrEqual(t, s.changesBegun()-before, uint64(3), "changes begun by all processes together")
+		s.startAll()
+		s.awaitSettled(joinBound)
+	})
+}
+
+// changesBegun counts the changes that the processes have begun.
+func (s *simulation) changesBegun() (changes uint64) {
+	for _, m := range s.all() {
+		if process := m.running(); process != nil {
+			changes += process.node.proposer.sequence
+		}
+	}
+	return changes
+}
