--- a/proof/child/process.go
+++ b/proof/child/process.go
@@ -16,12 +16,20 @@
 // Build builds commands of the repository for a test's TestMain, as the deploy files do, and returns the folder that
 // they are in and what removes it. root is where go.mod is, as seen from the test.
 func Build(root string, commands ...string) (folder string, remove func(), err error) {
+	return BuildOverlaid(root, "", commands...)
+}
+
+// BuildOverlaid does the same with files replaced or added by an overlay file of the go command; empty: none.
+func BuildOverlaid(root, overlay string, commands ...string) (folder string, remove func(), err error) {
 	folder, err = os.MkdirTemp("", "harness")
 	if err != nil {
 		return "", nil, err
 	}
 	args := append([]string{"build", "-ldflags=-linkmode=external", "-o", folder + string(filepath.Separator)},
 		buildArgs()...)
+	if overlay != "" {
+		args = append(args, "-overlay", overlay)
+	}
 	for _, command := range commands {
 		args = append(args, "./cmd/"+command)
 	}
--- a/proof/system/cluster_test.go
+++ b/proof/system/cluster_test.go
@@ -42,23 +42,30 @@
 
 // cluster is a whole system, its endpoints and its operator.
 type cluster struct {
-	t       *testing.T
-	folder  string // of settings and disks
-	network string // the first three numbers of all addresses
-	cores   []*node
-	agents  []*node
-	proxies []*node
-	ledger  *ledger
-	writers []*endpoint.Endpoint
-	stocks  []*endpoint.Endpoint
-	rpc     *rpc.Client
-	version uint64 // of the newest configuration that was acknowledged
+	t        *testing.T
+	programs string // folder of the programs; empty: the ordinary ones
+	folder   string // of settings and disks
+	network  string // the first three numbers of all addresses
+	cores    []*node
+	agents   []*node
+	proxies  []*node
+	ledger   *ledger
+	writers  []*endpoint.Endpoint
+	stocks   []*endpoint.Endpoint
+	rpc      *rpc.Client
+	version  uint64 // of the newest configuration that was acknowledged
 }
 
 // begin starts a system for the first time and waits until all of it serves.
 func begin(t *testing.T) *cluster {
 	t.Helper()
-	c := &cluster{t: t, network: freshNetwork(), ledger: newLedger(), rpc: rpc.NewClient()}
+	return beginWith(t, "")
+}
+
+// beginWith does the same with the programs of a folder; empty: the ordinary ones.
+func beginWith(t *testing.T, programs string) *cluster {
+	t.Helper()
+	c := &cluster{programs: programs, t: t, network: freshNetwork(), ledger: newLedger(), rpc: rpc.NewClient()}
 	t.Cleanup(c.end)
 	c.folder = t.TempDir()
 	for i, p := range places {
@@ -90,6 +97,7 @@
 	n := &node{t: c.t, program: program, name: fmt.Sprintf("machine-%d", number), log: child.NewLog(), firstRun: true,
 		ip: fmt.Sprintf("%s.%d", c.network, number)}
 	n.settings = filepath.Join(c.folder, fmt.Sprintf("%s-%d.conf", program, number))
+	n.programs, n.cut = c.programs, filepath.Join(c.folder, fmt.Sprintf("%s-%d.cut", program, number))
 	n.lines = []string{"node_name=" + n.name, "ip_addr=" + n.ip, "zone=" + p.zone, "region=" + p.region,
 		fmt.Sprintf("port_range=%d,%d", portInner, portLast), "seed_nodes=" + strings.Join(c.control(), ","),
 		"beat_ms=500", "limits.ram_mb=280", "limits.file_limit=4096", "withstand.machine_losses=1", "withstand.zones=1"}
--- a/proof/system/control_test.go
+++ b/proof/system/control_test.go
@@ -133,31 +133,37 @@
 func TestTwoOperatorsWhoseAnswersAreLost(t *testing.T) {
 	c := begin(t)
 	for round := range 10 {
-		version := c.version + 1 + uint64(round%3)
-		var both sync.WaitGroup
-		acknowledged := make([]int, 2)
-		refused := make([]int, 2)
-		for side := range 2 {
-			both.Go(func() {
-				sent := replacement(c.version, version, fmt.Sprint("side", side))
-				for attempt := range 9 {
-					switch status, _ := c.cores[(side+attempt)%len(c.cores)].call(sent); status {
-					case http.StatusOK:
-						acknowledged[side]++
-					case http.StatusPreconditionFailed:
-						refused[side]++
-					}
+		c.race(c.version + 1 + uint64(round%3))
+	}
+}
+
+// race has two operators change the configuration under the same number on the same version, through all cores. Each
+// order is sent again and again as if no answer had come.
+func (c *cluster) race(version uint64) {
+	c.t.Helper()
+	var both sync.WaitGroup
+	acknowledged := make([]int, 2)
+	refused := make([]int, 2)
+	for side := range 2 {
+		both.Go(func() {
+			sent := replacement(c.version, version, fmt.Sprint("side", side))
+			for attempt := range 9 {
+				switch status, _ := c.cores[(side+attempt)%len(c.cores)].call(sent); status {
+				case http.StatusOK:
+					acknowledged[side]++
+				case http.StatusPreconditionFailed:
+					refused[side]++
 				}
-			})
-		}
-		both.Wait()
-		for side := range 2 {
-			assert.False(t, acknowledged[side] > 0 && refused[side] > 0, "one order was acknowledged and refused")
-		}
-		assert.False(t, acknowledged[0] > 0 && acknowledged[1] > 0, "both were acknowledged")
-		require.True(t, acknowledged[0]+acknowledged[1] > 0, "none was")
-		c.version = version
+			}
+		})
+	}
+	both.Wait()
+	for side := range 2 {
+		assert.False(c.t, acknowledged[side] > 0 && refused[side] > 0, "one order was acknowledged and refused")
 	}
+	assert.False(c.t, acknowledged[0] > 0 && acknowledged[1] > 0, "both were acknowledged")
+	require.True(c.t, acknowledged[0]+acknowledged[1] > 0, "none was")
+	c.version = version
 }
 
 // TestAllPowerIsLostRightAfterAnAcknowledgement, and one disk with it, at each core in turn.
--- a/proof/system/node_test.go
+++ b/proof/system/node_test.go
@@ -47,6 +47,9 @@
 	store   string // empty: no disk
 	log     *child.Log
 
+	programs string // folder of the programs; empty: the ordinary ones
+	cut      string // path of the file that names the hosts that it can't reach; empty: it reaches all
+
 	settings string // path
 	lines    []string
 	firstRun bool
@@ -71,7 +74,11 @@
 		require.NoError(n.t, os.MkdirAll(n.store, 0o700))
 	}
 	n.log.Note("start")
-	process, err := child.Start(filepath.Join(programs, n.program), []string{"--settings", n.settings}, nil, n.log)
+	folder, environment := programs, []string(nil)
+	if n.programs != "" {
+		folder, environment = n.programs, []string{"ROWAN_CUT=" + n.cut}
+	}
+	process, err := child.Start(filepath.Join(folder, n.program), []string{"--settings", n.settings}, environment, n.log)
 	require.NoError(n.t, err)
 	n.process, n.firstRun = process, false
 }
