--- a/serving/register/explore_world_test.go
+++ b/serving/register/explore_world_test.go
@@ -15,37 +15,6 @@
 // That covers doubled, reordered and lost messages, a replica's crash before its save (never delivered) and after it
 // (vote lost), and a proposer's crash (it never goes on).
 
-// exploredRules are what a mutant changes.
-type exploredRules struct {
-	accept       func(AcceptorState, *AcceptRequest) step
-	agreementOf  func(*Proposal) electorate
-	wipedKeepsID bool
-}
-
-var trueRules = exploredRules{
-	accept: AcceptorState.accept,
-	agreementOf: func(p *Proposal) electorate {
-		if p.setPending() {
-			return electorate{p.Record.Replicas, p.Former}
-		}
-		return electorate{p.Record.Replicas}
-	},
-}
-
-// scenario is what may happen in a world.
-type scenario struct {
-	name    string
-	scripts [2][]Update // of the proposers
-	tries   int         // of each change
-	wiped   string      // the replica whose disk may be lost once; empty: none
-	goes    string      // the replica that may go for good once; empty: none. Both only once a voter was replaced.
-	// progress asks that from every state a fair schedule reaches a majority and commits.
-	progress bool
-	// unsettled counts a voter as replaced before the change of the voters is settled.
-	unsettled bool
-	named     []string // replicas that something above names
-}
-
 // exploredRound is one round of one try, with the messages that it has sent.
 type exploredRound struct {
 	proposer  int
