Register: drawn histories have the finisher that each core has

Cause: since a change of the voters is told only once it is settled, one whose proposer was cut off between the two is known to nobody until some voter finishes it. The check is as it was; the histories now run what the program runs.

--- a/serving/register/machine_test.go
+++ b/serving/register/machine_test.go
@@ -71,10 +71,21 @@
 // keepInterval is the time between two repairs by the holder of that duty.
 const keepInterval = 500 * time.Millisecond
 
+// finish reads where this process has accepted a change of which it doesn't know the end.
+func (p *process) finish(ctx context.Context) {
+	if _, unfinished := p.node.Unfinished(); !unfinished || !p.machine.simulation.finishing {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	_, _ = p.node.Read(bounded)
+}
+
 // keep does the duty of the holder, which is the first machine that runs.
 func (p *process) keep(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, keepInterval)
+		p.finish(ctx)
 		all := p.machine.simulation.all()
 		first := slices.IndexFunc(all, func(m *machine) bool { return m.running() != nil })
 		if first >= 0 && all[first] == p.machine {
--- a/serving/register/random_test.go
+++ b/serving/register/random_test.go
@@ -174,6 +174,7 @@
 func runHistory(t *testing.T, machines int, seed uint64, actions []action) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSimulation(t, machines, seed)
+		s.finishing = true
 		defer s.stopAll()
 		s.startAll()
 		s.awaitSettled(5 * time.Second)
--- a/serving/register/simulation_test.go
+++ b/serving/register/simulation_test.go
@@ -21,6 +21,8 @@
 	history  *history
 	faults   *faults
 	losses   int // of machines, that are to be borne at once
+	// finishing has each process finish changes that others have left half-way, as a core's keeper does.
+	finishing bool
 
 	mutex   sync.Mutex
 	numbers int // of machines that there have been
