Register: an evacuation order that finds nothing to change is written as a fence

Cause: an evacuation's begin that its caller gave up while a minority had accepted it was the highest proposal that a later change or read met, since the end had found nothing to change and wrote nothing. Such an order now writes the record once more under its own ballot. The search of small worlds has one operator's begin and end in turn; without the fence it finds the begin come back. TestSetEvacuation names the fence in place of 'no change', and both of its cases.

--- a/serving/register/change.go
+++ b/serving/register/change.go
@@ -36,6 +36,7 @@
 type verdict struct {
 	next    Proposal // to be put to the vote where write is set
 	write   bool
+	fence   bool // nothing new to write, but the newest proposal is to be written under this ballot
 	refusal error
 }
 
@@ -51,6 +52,8 @@
 	switch {
 	case errors.Is(err, ErrNoChange):
 		return verdict{}
+	case errors.Is(err, ErrFence):
+		return verdict{fence: true}
 	case err != nil:
 		return verdict{refusal: err}
 	}
@@ -100,7 +103,7 @@
 	}
 	decision := change.decide(&newest)
 	if !decision.write {
-		written := committed && !votes.highest.Proposal.setPending()
+		written := committed && !votes.highest.Proposal.setPending() && !decision.fence
 		return p.confirm(ctx, ballot, newest, written, decision.refusal)
 	}
 	change.begin(&decision.next)
@@ -111,7 +114,7 @@
 }
 
 // confirm ends a change that has nothing of its own to write. Where the proposal that it was decided on isn't known to
-// be committed, or still names a former set, it is written first.
+// be committed, or still names a former set, or is to be a fence, it is written first.
 func (p *Proposer) confirm(ctx context.Context, ballot Ballot, newest Proposal, written bool,
 	refusal error) (state.Record, outcome, error) {
 	if !written {
--- a/serving/register/explore_judge_test.go
+++ b/serving/register/explore_judge_test.go
@@ -13,6 +13,9 @@
 
 const exploredRevisions = 12
 
+// exploredZone is the zone that scripts evacuate.
+const exploredZone = "z"
+
 // seen takes in that somebody has found a proposal to be committed: there is one record a revision, and none without
 // what was acknowledged before.
 func (w *world) seen(proposal *Proposal) {
@@ -80,6 +83,9 @@
 			vote := own.query(&QueryRequest{ReplicaID: id})
 			votes.add(id, &vote)
 		}
+		if w.ended && votes.complete() && votes.highest.Proposal.Record.Evacuated(exploredZone) {
+			w.fail("the evacuation is begun again after its end was acknowledged")
+		}
 		empty := votes.highest.Ballot.IsZero() && established.Epoch > 0
 		if votes.complete() && votes.committed() && !votes.highest.Proposal.setPending() && !empty {
 			w.seen(&votes.highest.Proposal)
@@ -138,6 +144,9 @@
 	if w.wiped {
 		text = append(text, 'w')
 	}
+	if w.ended {
+		text = append(text, 'e')
+	}
 	if w.gone {
 		text = append(text, 'g')
 	}
@@ -170,8 +179,11 @@
 	if p.gone {
 		return []byte{'-'}
 	}
-	text := append([]byte{byte(p.at), byte(p.change.tries), byte(p.change.revision), byte(p.then), byte(p.known.number),
-		byte(p.known.established.Epoch), ballotKey(p.known.newest.Ballot)}, w.rounds[p.round].name...)
+	text := []byte{byte(p.at), byte(p.change.tries), byte(p.change.revision), byte(p.then), byte(p.known.number),
+		byte(p.known.established.Epoch), ballotKey(p.known.newest.Ballot)}
+	if p.round >= 0 {
+		text = append(text, w.rounds[p.round].name...)
+	}
 	if p.refused {
 		text = append(text, 'r')
 	}
--- a/serving/register/explore_scenarios_test.go
+++ b/serving/register/explore_scenarios_test.go
@@ -36,7 +36,11 @@
 	progress bool
 	// unsettled counts a voter as replaced before the change of the voters is settled.
 	unsettled bool
-	named     []string // replicas that something above names
+	// inTurn has the second proposer begin once the first one has done all or has given up, as one operator does.
+	inTurn bool
+	// unfenced has a change that finds nothing to do write nothing.
+	unfenced bool
+	named    []string // replicas that something above names
 }
 
 func configured(basedOn, version uint64) Update {
@@ -69,6 +73,9 @@
 		progress: true, scripts: [2][]Update{{swap("r1"), unchanged}, {configured(0, 1)}}}
 	handingOverAlone = scenario{name: "an end by plan and a lost disk, without another change", tries: 2, named: []string{"r1", "r2", "r4"},
 		goes: "r1", wiped: "r2", progress: true, scripts: [2][]Update{{swap("r1"), unchanged}, {}}}
+	// evacuating is one operator who begins an evacuation, perhaps in vain, and ends it through another machine.
+	evacuating = scenario{name: "an evacuation's begin that may be given up, then its end", tries: 2, named: []string{"r4"}, inTurn: true,
+		scripts: [2][]Update{{SetEvacuation(exploredZone, true)}, {SetEvacuation(exploredZone, false)}}}
 	// joining is the rule before: the successor of r1 was added to the set, which then had four.
 	joining = scenario{name: "a join before an end by plan, and a lost disk", tries: 2, named: []string{"r1", "r2", "r4"}, goes: "r1",
 		wiped: "r2", progress: true, scripts: [2][]Update{{AddReplica(replicaNamed("r4")), unchanged}, {}}}
--- a/serving/register/explore_test.go
+++ b/serving/register/explore_test.go
@@ -37,7 +37,7 @@
 		}
 	}
 	for index := range w.proposers {
-		if !w.proposers[index].gone {
+		if !w.proposers[index].gone && w.proposers[index].round >= 0 {
 			next := w.clone()
 			next.giveUp(s, index)
 			visit(exploredEvent{round: -1, replica: proposerName(index)}, next)
@@ -137,7 +137,7 @@
 
 // TestExploreRegister goes through every order of events in small worlds.
 func TestExploreRegister(t *testing.T) {
-	all := []scenario{racing, swapping, losing, resending, successive, growing, handingOver, handingOverAlone}
+	all := []scenario{racing, swapping, losing, resending, successive, growing, handingOver, handingOverAlone, evacuating}
 	for _, s := range all[:len(all):len(all)] {
 		if s.tries == 1 {
 			continue
@@ -166,6 +166,8 @@
 	}
 	unsettled := handingOverAlone
 	unsettled.unsettled = true
+	unfenced := evacuating
+	unfenced.unfenced = true
 	newSetAlone := trueRules
 	newSetAlone.agreementOf = func(p *Proposal) electorate { return electorate{p.Record.Replicas} }
 	sameID := trueRules
@@ -174,11 +176,12 @@
 		scenario scenario
 		rules    exploredRules
 	}{
-		"a replica accepts below its promise":       {racing, forgetful},
-		"a swap is accepted by the new set alone":   {swapping, newSetAlone},
-		"a replica that lost its disk keeps its ID": {losing, sameID},
-		"a successor is added to an odd set":        {joining, trueRules},
-		"a voter goes before its change is settled": {unsettled, trueRules},
+		"a replica accepts below its promise":        {racing, forgetful},
+		"a swap is accepted by the new set alone":    {swapping, newSetAlone},
+		"a replica that lost its disk keeps its ID":  {losing, sameID},
+		"a successor is added to an odd set":         {joining, trueRules},
+		"a voter goes before its change is settled":  {unsettled, trueRules},
+		"an end that changes nothing writes nothing": {unfenced, trueRules},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/serving/register/explore_world_test.go
+++ b/serving/register/explore_world_test.go
@@ -55,6 +55,7 @@
 	replaced bool
 
 	committed      map[uint64]committedFact // by revision
+	ended          bool                     // the last proposer's end of the evacuation was acknowledged
 	acknowledged   []order                  // changes of the configuration
 	acknowledgedAt []uint64                 // the revisions of those
 	saved          bool                     // a replica has changed since its clone was made
@@ -104,7 +105,10 @@
 	p := &w.proposers[index]
 	p.round = -1
 	if p.at == len(s.scripts[index]) {
-		p.gone = true
+		w.leave(s, index)
+		return
+	}
+	if s.inTurn && index > 0 && !w.proposers[index-1].gone {
 		return
 	}
 	p.change = change{id: ChangeID{Proposer: proposerName(index), Sequence: uint64(p.at + 1)}, update: s.scripts[index][p.at]}
@@ -124,12 +128,20 @@
 func (w *world) giveUp(s *scenario, index int) {
 	p := &w.proposers[index]
 	if p.change.tries++; p.change.tries >= s.tries {
-		p.gone, p.round = true, -1
+		w.leave(s, index)
 		return
 	}
 	w.beginTry(index)
 }
 
+// leave ends a proposer's part. Where the scenario has one after the other, the next one's begins.
+func (w *world) leave(s *scenario, index int) {
+	w.proposers[index].gone, w.proposers[index].round = true, -1
+	if s.inTurn && index+1 < len(w.proposers) {
+		w.beginChange(s, index+1)
+	}
+}
+
 // sentTo are the replicas that a round asks.
 func (w *world) sentTo(rules *exploredRules, number int) []state.Replica {
 	round := &w.rounds[number]
@@ -212,7 +224,7 @@
 		return
 	}
 	p.refused = verdict.refusal != nil
-	if committed && !votes.highest.Proposal.setPending() {
+	if committed && !votes.highest.Proposal.setPending() && (!verdict.fence || s.unfenced) {
 		w.end(s, index, &newest)
 		return
 	}
@@ -259,6 +271,7 @@
 	if !p.refused && !p.change.setChanged && proposal.includes(p.change.id) {
 		w.acknowledge(p, proposal)
 	}
+	w.ended = w.ended || s.inTurn && index == len(w.proposers)-1
 	p.refused = false
 	p.at++
 	w.beginChange(s, index)
--- a/serving/register/updates.go
+++ b/serving/register/updates.go
@@ -17,6 +17,11 @@
 // ErrNoChange is what an update returns where nothing has to change; Change then succeeds.
 var ErrNoChange = errors.New("no change")
 
+// ErrFence is what an update returns where nothing has to change, and nothing that was proposed before may change it
+// later. Change then writes the record once more under its own ballot, which shuts out whatever a minority has
+// accepted, and succeeds. Orders need it that carry no version: a begin that was given up must not follow its end.
+var ErrFence = errors.New("no change, and none of earlier proposals")
+
 // ReplaceConfiguration puts a configuration in force that builds on version basedOn (0: on none). The refusals are
 // result.VersionConflict and result.VersionNotAbove. A configuration that already is or was in force, byte for byte,
 // is no change; where the history is too short to tell, the error is result.RegisterUnclear: what was acknowledged once
@@ -45,11 +50,11 @@
 	}
 }
 
-// SetEvacuation begins or ends the evacuation of a zone.
+// SetEvacuation begins or ends the evacuation of a zone. Where the record is as wanted, it is fenced.
 func SetEvacuation(zone string, active bool) Update {
 	return func(record state.Record) (state.Record, error) {
 		if record.Evacuated(zone) == active {
-			return record, ErrNoChange
+			return record, ErrFence
 		}
 		order := state.Evacuation{Zone: zone, Active: active, Revision: record.Revision + 1}
 		orders := slices.Clone(record.Evacuations)
--- a/serving/register/updates_test.go
+++ b/serving/register/updates_test.go
@@ -84,7 +84,7 @@
 
 func TestSetEvacuation(t *testing.T) {
 	_, err := SetEvacuation("z", false)(state.Record{})
-	assert.Equal(t, ErrNoChange, err)
+	assert.Equal(t, ErrFence, err)
 	begun, err := SetEvacuation("z", true)(state.Record{Revision: 4})
 	require.NoError(t, err)
 	assert.Equal(t, []state.Evacuation{{Zone: "z", Active: true, Revision: 5}}, begun.Evacuations)
@@ -92,6 +92,8 @@
 	require.NoError(t, err)
 	assert.True(t, begun.Evacuated("z"), "the earlier record is as it was")
 	assert.False(t, ended.Evacuated("z"))
+	_, err = SetEvacuation("z", true)(begun)
+	assert.Equal(t, ErrFence, err)
 }
 
 func TestFirstStateIsGenesisOnlyAtTheVeryFirstStartOnASeed(t *testing.T) {
