Settings.Amend: named items of the configuration are added, replaced and removed

An amendment is applied to the document that the register's change finds, never to a copy read before; it is known again by its own digest, in the history beside the replacements. What isn't named stays byte for byte. rowanctl config amend, with a dry run.

--- a/cmd/rowanctl/config.go
+++ b/cmd/rowanctl/config.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rowanlink/serving/operator/client"
+	"rowanlink/serving/result"
 	"rowanlink/serving/routing"
 )
 
@@ -14,6 +15,7 @@
 type configCommand struct {
 	Get   configGetCommand   `cmd:"" help:"Print the configuration in force, as it was put."`
 	Put   configPutCommand   `cmd:"" help:"Replace the configuration."`
+	Amend configAmendCommand `cmd:"" help:"Add, replace or remove named routes and services."`
 	Check configCheckCommand `cmd:"" help:"Tell whether a document would be taken, without calling anybody."`
 }
 
@@ -56,6 +58,64 @@
 	return s.done("in force")
 }
 
+// configAmendCommand changes named items of the configuration.
+type configAmendCommand struct {
+	File   string `arg:"" type:"existingfile" help:"Amendment: a JSON object with 'edition', 'upsert' and 'remove'."`
+	Base   uint64 `required:"" placeholder:"VERSION" help:"Version that the amendment builds on, as 'rowanctl config get' shows it; 0 if there is none yet."`
+	DryRun bool   `help:"Show what would change, and check the result, without changing anything."`
+}
+
+// Run implements the command.
+func (c *configAmendCommand) Run(s *session) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return errors.Wrap(err, "read amendment")
+	}
+	amendment, err := routing.ParseAmendment(text)
+	if err != nil {
+		return err
+	}
+	operator, err := s.operator()
+	if err != nil {
+		return err
+	}
+	if c.DryRun {
+		return c.show(s, operator, amendment)
+	}
+	if err := operator.AmendConfiguration(s.ctx, c.Base, text); err != nil {
+		return err
+	}
+	return s.done("in force")
+}
+
+// show prints what the amendment would change in the configuration in force. The errors are those that the order
+// would be refused with.
+func (c *configAmendCommand) show(s *session, operator *client.Client, amendment *routing.Amendment) error {
+	document, err := operator.Configuration(s.ctx)
+	if err != nil {
+		return err
+	}
+	before, err := routing.Parse(document)
+	if err != nil {
+		return err
+	}
+	if before.Version != c.Base {
+		return result.VersionConflict.With("version %d is current, not %d", before.Version, c.Base)
+	}
+	if amendment.Version <= before.Version {
+		return result.VersionNotAbove.With("%d is not above %d", amendment.Version, before.Version)
+	}
+	if _, err := routing.Parse(amendment.Apply(document)); err != nil {
+		return err
+	}
+	difference := amendment.Difference(document)
+	lines := make([]string, 0, len(difference))
+	for _, change := range difference {
+		lines = append(lines, change.Kind+" "+change.List+" "+change.Name)
+	}
+	return s.print(difference, lines, nil)
+}
+
 // configCheckCommand checks a configuration document without calling anybody.
 type configCheckCommand struct {
 	File string `arg:"" type:"existingfile" help:"Configuration document."`
--- a/cmd/rowanctl/config_test.go
+++ b/cmd/rowanctl/config_test.go
@@ -32,6 +32,17 @@
 	return f.fails
 }
 
+func (f *fakeRegister) AmendConfiguration(_ context.Context, order operator.Amendment) error {
+	if f.fails != nil {
+		return f.fails
+	}
+	amended, err := order.Apply(f.record.Configuration)
+	if err == nil {
+		f.record.Configuration = amended
+	}
+	return err
+}
+
 func (f *fakeRegister) SetEvacuation(_ context.Context, zone string, active bool) error {
 	f.record.Evacuations = []state.Evacuation{{Zone: zone, Active: active}}
 	return f.fails
@@ -78,6 +89,30 @@
 	assert.Equal(t, someDocument+"\n", out.String())
 }
 
+func amendmentFile(t *testing.T, amendment string) string {
+	path := filepath.Join(t.TempDir(), "amendment.json")
+	require.NoError(t, os.WriteFile(path, []byte(amendment), 0o600))
+	return path
+}
+
+func TestConfigurationIsAmended(t *testing.T) {
+	register := &fakeRegister{}
+	s, out := at(t, core(t, register))
+	require.NoError(t, (&configPutCommand{File: documentFile(t)}).Run(s))
+	file := amendmentFile(t, `{"edition":4,"upsert":{"carriers":[{"name":"s"}]},"remove":{"routings":["gone"]}}`)
+	out.Reset()
+	require.NoError(t, (&configAmendCommand{File: file, Base: 3, DryRun: true}).Run(s))
+	assert.Equal(t, "add carriers s\n", out.String())
+	assert.Equal(t, uint64(3), register.record.Configuration.Version, "a dry run changes nothing")
+	require.NoError(t, (&configAmendCommand{File: file, Base: 3}).Run(s))
+	document, err := register.record.Configuration.Open()
+	require.NoError(t, err)
+	assert.Equal(t, `{"edition":4,"routings":[],"carriers":[{"name":"s"}]}`, string(document))
+	assert.ErrorContains(t, (&configAmendCommand{File: file, Base: 3, DryRun: true}).Run(s), "version 4 is current")
+	assert.ErrorContains(t, (&configAmendCommand{File: file, Base: 4, DryRun: true}).Run(s), "not above")
+	assert.ErrorContains(t, (&configAmendCommand{File: amendmentFile(t, `{"edition":5,"upsert":{"routes":[]}}`)}).Run(s), "routes")
+}
+
 func TestZoneIsEvacuatedAndTakenBack(t *testing.T) {
 	register := &fakeRegister{}
 	s, _ := at(t, core(t, register))
--- a/serving/operator/client/client.go
+++ b/serving/operator/client/client.go
@@ -71,8 +71,18 @@
 
 // ReplaceConfiguration puts a document in force that builds on the version base; 0: it is the first one.
 func (c *Client) ReplaceConfiguration(ctx context.Context, base uint64, document []byte) error {
+	return c.changeConfiguration(ctx, replacePath, base, document)
+}
+
+// AmendConfiguration changes named items of version base, as an amendment says.
+func (c *Client) AmendConfiguration(ctx context.Context, base uint64, amendment []byte) error {
+	return c.changeConfiguration(ctx, amendPath, base, amendment)
+}
+
+// changeConfiguration sends an order on the configuration that builds on a version.
+func (c *Client) changeConfiguration(ctx context.Context, path string, base uint64, body []byte) error {
 	header := http.Header{contentHeader: {jsonType}, baseHeader: {strconv.FormatUint(base, 10)}}
-	_, err := c.send(ctx, order{verb: http.MethodPost, path: replacePath, header: header, body: document})
+	_, err := c.send(ctx, order{verb: http.MethodPost, path: path, header: header, body: body})
 	return err
 }
 
--- a/serving/operator/client/wire.go
+++ b/serving/operator/client/wire.go
@@ -3,6 +3,7 @@
 // What the operator's API speaks.
 const (
 	replacePath       = "/Settings.Replace"
+	amendPath         = "/Settings.Amend"
 	readPath          = "/Settings.Read"
 	evacuatePath      = "/Clearance.Begin/"
 	evacuationEndPath = "/Clearance.Finish/"
--- a/serving/operator/core_test.go
+++ b/serving/operator/core_test.go
@@ -176,6 +176,60 @@
 	assert.Less(t, time.Since(begun), 6*time.Second)
 }
 
+// TestAmendmentsOverTheRealRegister: an amendment is carried out once, whoever gets it, and on nothing but its base.
+func TestAmendmentsOverTheRealRegister(t *testing.T) {
+	cores := startCores(t)
+	cores[0].until(t, 200, "POST", "/Settings.Replace", document(3, "first"), "0")
+	amendment := `{"edition":5,"upsert":{"carriers":[{"name":"s"},{"name":"t"}]}}`
+	for _, c := range cores {
+		c.until(t, 200, "POST", "/Settings.Amend", amendment, "3")
+	}
+	amended := `{"edition":5,"routings":[],"carriers":[{"name":"s"},{"name":"t"}],"mark":"first"}`
+	_, read := cores[2].call("GET", "/Settings.Read", "", "")
+	assert.Equal(t, amended, read)
+	cores[1].until(t, 200, "POST", "/Settings.Replace", amended, "3") // it is what is in force
+	for _, refused := range []struct {
+		body, basedOn string
+		status        int
+	}{
+		{`{"edition":6,"remove":{"carriers":["s"]}}`, "3", 412},
+		{`{"edition":5,"remove":{"carriers":["s"]}}`, "3", 412},
+		{`{"edition":4,"remove":{"carriers":["s"]}}`, "5", 400},
+		{`{"edition":6,"upsert":{"routings":[{"name":"r","station":"x","lane_prefix":"/","carrier":"u"}]}}`, "5", 400},
+		{`{"edition":6,"remove":{"carriers":["s","s"]}}`, "5", 400},
+	} {
+		status, _ := cores[1].call("POST", "/Settings.Amend", refused.body, refused.basedOn)
+		assert.Equal(t, refused.status, status, refused.body)
+	}
+	cores[0].until(t, 200, "POST", "/Settings.Amend", `{"edition":9,"remove":{"carriers":["s","gone"]}}`, "5")
+	cores[2].until(t, 200, "POST", "/Settings.Amend", amendment, "3") // long taken
+	_, read = cores[1].call("GET", "/Settings.Read", "", "")
+	assert.Equal(t, `{"edition":9,"routings":[],"carriers":[{"name":"t"}],"mark":"first"}`, read)
+}
+
+// TestAmendmentAgainstReplacement sends both on top of the same version, under one number, at once.
+func TestAmendmentAgainstReplacement(t *testing.T) {
+	cores := startCores(t)
+	cores[0].until(t, 200, "POST", "/Settings.Replace", document(1, "first"), "0")
+	for round := 1; round <= 5; round++ {
+		orders := []struct{ path, body string }{
+			{"/Settings.Amend", fmt.Sprintf(`{"edition":%d,"upsert":{"carriers":[{"name":"s%d"}]}}`, round+1, round)},
+			{"/Settings.Replace", document(round+1, "whole")},
+		}
+		statuses := make([]int, len(orders))
+		var both sync.WaitGroup
+		for side, order := range orders {
+			both.Go(func() {
+				for statuses[side] = 503; statuses[side] == 503; {
+					statuses[side], _ = cores[side].call("POST", order.path, order.body, fmt.Sprint(round))
+				}
+			})
+		}
+		both.Wait()
+		assert.ElementsMatch(t, []int{200, 412}, statuses)
+	}
+}
+
 // TestOfTwoOperatorsOneWins sends two configurations on top of the same version at once.
 func TestOfTwoOperatorsOneWins(t *testing.T) {
 	cores := startCores(t)
--- a/serving/operator/fakes_test.go
+++ b/serving/operator/fakes_test.go
@@ -48,6 +48,20 @@
 	return nil
 }
 
+func (f *fakeRegister) AmendConfiguration(ctx context.Context, order Amendment) error {
+	if err := f.enter(ctx); err != nil {
+		return err
+	}
+	if f.refusal != nil {
+		return f.refusal
+	}
+	amended, err := order.Apply(f.record.Configuration)
+	if err == nil {
+		f.record.Configuration = amended
+	}
+	return err
+}
+
 func (f *fakeRegister) SetEvacuation(ctx context.Context, zone string, active bool) error {
 	if err := f.enter(ctx); err != nil {
 		return err
--- a/serving/operator/operator.go
+++ b/serving/operator/operator.go
@@ -36,6 +36,9 @@
 	// ReplaceConfiguration puts a configuration in force in place of the version that it builds on. It also succeeds
 	// where that very configuration was put in force before.
 	ReplaceConfiguration(ctx context.Context, basedOn uint64, configuration state.Configuration) error
+	// AmendConfiguration puts in force what an amendment makes of the version that it builds on. It also succeeds where
+	// that very order was carried out before.
+	AmendConfiguration(ctx context.Context, order Amendment) error
 	// SetEvacuation begins or ends the evacuation of a zone.
 	SetEvacuation(ctx context.Context, zone string, active bool) error
 	// Read returns the record as a majority holds it. It shows all that was acknowledged before.
@@ -77,6 +80,7 @@
 		contact: options.Contact, forward: options.Forward, log: options.Log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /Settings.Replace", settings.Replace)
+	mux.HandleFunc("POST /Settings.Amend", settings.Amend)
 	mux.HandleFunc("GET /Settings.Read", settings.Read)
 	mux.HandleFunc("POST /Clearance.Begin/{zone}", clearance.Begin)
 	mux.HandleFunc("POST /Clearance.Finish/{zone}", clearance.Finish)
--- a/serving/operator/operator_test.go
+++ b/serving/operator/operator_test.go
@@ -102,7 +102,7 @@
 // TestHangingRegisterIsBounded lets each call of the register hang in turn.
 func TestHangingRegisterIsBounded(t *testing.T) {
 	calls := []struct{ method, path string }{
-		{"POST", "/Settings.Replace"}, {"GET", "/Settings.Read"}, {"POST", "/Clearance.Begin/z1"},
+		{"POST", "/Settings.Replace"}, {"POST", "/Settings.Amend"}, {"GET", "/Settings.Read"}, {"POST", "/Clearance.Begin/z1"},
 		{"POST", "/Clearance.Finish/z1"},
 	}
 	for point := range calls {
--- a/serving/operator/register.go
+++ b/serving/operator/register.go
@@ -25,6 +25,13 @@
 	return err
 }
 
+// AmendConfiguration implements Register.
+func (n nodeRegister) AmendConfiguration(ctx context.Context, order Amendment) error {
+	accepted := state.Accepted{Version: order.amendment.Version, Digest: order.digest}
+	_, err := n.node.Change(ctx, register.AmendConfiguration(order.basedOn, accepted, order.Apply))
+	return err
+}
+
 // SetEvacuation implements Register.
 func (n nodeRegister) SetEvacuation(ctx context.Context, zone string, active bool) error {
 	_, err := n.node.Change(ctx, register.SetEvacuation(zone, active))
--- a/serving/operator/settings.go
+++ b/serving/operator/settings.go
@@ -36,14 +36,35 @@
 		writeError(w, err)
 		return
 	}
+	s.carryOut(w, r, configuration.Version, func(ctx context.Context) error {
+		return s.register.ReplaceConfiguration(ctx, basedOn, configuration)
+	})
+}
+
+// Amend changes named items of the configuration under the same terms as Replace. What comes of it is decided on the
+// record that the register finds.
+func (s *SettingsResource) Amend(w http.ResponseWriter, r *http.Request) {
+	order, err := readAmendment(w, r)
+	if err != nil {
+		event.ConfigurationRefused.Log(s.log).Err(err).Send()
+		writeError(w, err)
+		return
+	}
+	s.carryOut(w, r, order.amendment.Version, func(ctx context.Context) error {
+		return s.register.AmendConfiguration(ctx, order)
+	})
+}
+
+// carryOut makes a change of the register and answers with what came of it.
+func (s *SettingsResource) carryOut(w http.ResponseWriter, r *http.Request, version uint64,
+	change func(context.Context) error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), orderLimit)
 	defer cancel()
-	err = s.register.ReplaceConfiguration(ctx, basedOn, configuration)
-	if err != nil {
-		s.answerFailure(w, orderError(err, result.OrderUnclear), configuration.Version)
+	if err := change(ctx); err != nil {
+		s.answerFailure(w, orderError(err, result.OrderUnclear), version)
 		return
 	}
-	event.ConfigurationAcknowledged.Log(s.log).Uint64("version", configuration.Version).Send()
+	event.ConfigurationAcknowledged.Log(s.log).Uint64("version", version).Send()
 	writeJSON(w, http.StatusOK, empty)
 }
 
@@ -58,11 +79,7 @@
 
 // readConfiguration reads and checks an order, before the register sees it.
 func readConfiguration(w http.ResponseWriter, r *http.Request) (uint64, state.Configuration, error) {
-	basedOn, err := readBasedOn(r.Header.Get(basedOnHeader))
-	if err != nil {
-		return 0, state.Configuration{}, err
-	}
-	document, err := readBody(w, r, documentMost)
+	basedOn, document, err := readOrder(w, r)
 	if err != nil {
 		return 0, state.Configuration{}, err
 	}
@@ -74,6 +91,16 @@
 	return basedOn, configuration, err
 }
 
+// readOrder reads the version that an order builds on and its body.
+func readOrder(w http.ResponseWriter, r *http.Request) (basedOn uint64, body []byte, err error) {
+	basedOn, err = readBasedOn(r.Header.Get(basedOnHeader))
+	if err != nil {
+		return 0, nil, err
+	}
+	body, err = readBody(w, r, documentMost)
+	return basedOn, body, err
+}
+
 // readBasedOn reads a version number; quotes round it, as round entity tags, are taken too.
 func readBasedOn(text string) (uint64, error) {
 	version, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(text), `"`), 10, 64)
@@ -83,6 +110,14 @@
 	return version, nil
 }
 
+// openConfiguration returns the document, before the first one an empty configuration.
+func openConfiguration(configuration state.Configuration) ([]byte, error) {
+	if configuration.Version == 0 {
+		return noConfiguration, nil
+	}
+	return configuration.Open()
+}
+
 // Read answers with the newest configuration, byte for byte as it was sent, or 503 without a majority.
 func (s *SettingsResource) Read(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), orderLimit)
@@ -92,11 +127,7 @@
 		writeError(w, result.NoQuorum.With("%v", err))
 		return
 	}
-	if record.Configuration.Version == 0 {
-		writeJSON(w, http.StatusOK, noConfiguration)
-		return
-	}
-	document, err := record.Configuration.Open()
+	document, err := openConfiguration(record.Configuration)
 	if err != nil {
 		writeError(w, err)
 		return
--- a/serving/register/history_test.go
+++ b/serving/register/history_test.go
@@ -39,7 +39,25 @@
 // order is a configuration that was sent.
 type order struct {
 	basedOn       uint64
-	configuration state.Configuration
+	configuration state.Configuration // of an amendment: its number, its own digest and what it adds
+	amends        bool
+}
+
+// update is the change that the order asks for.
+func (h *history) update(sent order) Update {
+	if !sent.amends {
+		return ReplaceConfiguration(sent.basedOn, sent.configuration)
+	}
+	accepted := state.Accepted{Version: sent.configuration.Version, Digest: sent.configuration.Digest}
+	return AmendConfiguration(sent.basedOn, accepted, func(found state.Configuration) (state.Configuration, error) {
+		if found.Version != sent.basedOn {
+			h.mutex.Lock()
+			h.problems = append(h.problems, fmt.Sprintf("version %d amended, not %d", found.Version, sent.basedOn))
+			h.mutex.Unlock()
+		}
+		document := append(slices.Clone(found.Document), sent.configuration.Document...)
+		return state.Configuration{Version: sent.configuration.Version, Digest: state.DigestOf(document), Document: document}, nil
+	})
 }
 
 func newHistory() *history {
@@ -136,8 +154,8 @@
 		return errSilence
 	}
 	document := fmt.Appendf(nil, "%d of client %d on %d", version, client, basedOn)
-	sent := order{basedOn: basedOn, configuration: state.Configuration{Version: version, Digest: state.DigestOf(document),
-		Document: document}}
+	sent := order{basedOn: basedOn, amends: version%3 == 0, configuration: state.Configuration{Version: version,
+		Digest: state.DigestOf(document), Document: document}}
 	s.history.mutex.Lock()
 	s.history.sent = append(s.history.sent, sent)
 	s.history.mutex.Unlock()
@@ -187,7 +205,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
 	defer cancel()
 	call := s.history.tick()
-	_, err := process.node.Change(ctx, ReplaceConfiguration(sent.basedOn, sent.configuration))
+	_, err := process.node.Change(ctx, s.history.update(sent))
 	s.history.replaced(client, sent, err, call)
 	return err
 }
--- a/serving/register/updates.go
+++ b/serving/register/updates.go
@@ -27,27 +27,61 @@
 // is no change; where the history is too short to tell, the error is result.RegisterUnclear: what was acknowledged once
 // is never refused.
 func ReplaceConfiguration(basedOn uint64, configuration state.Configuration) Update {
+	order := state.Accepted{Version: configuration.Version, Digest: configuration.Digest}
 	return func(record state.Record) (state.Record, error) {
-		current := record.Configuration.Version
-		switch {
-		case record.WasAccepted(configuration.Version, configuration.Digest):
-			return record, ErrNoChange
-		case basedOn != current && configuration.Version <= record.ForgottenVersion:
-			return record, result.RegisterUnclear.With("version %d may have been in force long ago", configuration.Version)
-		case basedOn != current:
-			return record, result.VersionConflict.With("version %d is current, not %d", current, basedOn)
-		case configuration.Version <= current:
-			return record, result.VersionNotAbove.With("%d is not above %d", configuration.Version, current)
+		current := &record.Configuration
+		if current.Version == configuration.Version && current.Digest == configuration.Digest {
+			return record, ErrNoChange // an amendment may have made it
 		}
-		record.Configuration = configuration
-		accepted := state.Accepted{Version: configuration.Version, Digest: configuration.Digest}
-		record.History = append(slices.Clone(record.History), accepted)
-		if excess := len(record.History) - state.HistoryLimit; excess > 0 {
-			record.ForgottenVersion = record.History[excess-1].Version
-			record.History = record.History[excess:]
+		if err := checkOrder(&record, basedOn, order); err != nil {
+			return record, err
 		}
-		return record, nil
+		return succeeded(record, configuration, order), nil
+	}
+}
+
+// AmendConfiguration puts the configuration in force that amend makes of version basedOn, as ReplaceConfiguration does.
+// The order is known again by its number and its own digest, not by the document that came of it. What amend refuses
+// with, the change is refused with. Amend may be called several times.
+func AmendConfiguration(basedOn uint64, order state.Accepted,
+	amend func(state.Configuration) (state.Configuration, error)) Update {
+	return func(record state.Record) (state.Record, error) {
+		if err := checkOrder(&record, basedOn, order); err != nil {
+			return record, err
+		}
+		configuration, err := amend(record.Configuration)
+		if err != nil {
+			return record, err
+		}
+		return succeeded(record, configuration, order), nil
+	}
+}
+
+// checkOrder tells why an order on version basedOn can't be carried out: ErrNoChange where it was before.
+func checkOrder(record *state.Record, basedOn uint64, order state.Accepted) error {
+	current := record.Configuration.Version
+	switch {
+	case record.WasAccepted(order.Version, order.Digest):
+		return ErrNoChange
+	case basedOn != current && order.Version <= record.ForgottenVersion:
+		return result.RegisterUnclear.With("version %d may have been in force long ago", order.Version)
+	case basedOn != current:
+		return result.VersionConflict.With("version %d is current, not %d", current, basedOn)
+	case order.Version <= current:
+		return result.VersionNotAbove.With("%d is not above %d", order.Version, current)
+	}
+	return nil
+}
+
+// succeeded is the record with the configuration that an order has put in force.
+func succeeded(record state.Record, configuration state.Configuration, order state.Accepted) state.Record {
+	record.Configuration = configuration
+	record.History = append(slices.Clone(record.History), order)
+	if excess := len(record.History) - state.HistoryLimit; excess > 0 {
+		record.ForgottenVersion = record.History[excess-1].Version
+		record.History = record.History[excess:]
 	}
+	return record
 }
 
 // SetEvacuation begins or ends the evacuation of a zone. Where the record is as wanted, it is fenced.
--- a/serving/register/updates_test.go
+++ b/serving/register/updates_test.go
@@ -43,6 +43,53 @@
 	}
 }
 
+// An amendment is known again by its own digest, and what it is made of is the record that is found.
+func TestAmendConfiguration(t *testing.T) {
+	order := state.Accepted{Version: 5, Digest: state.DigestOf([]byte("order"))}
+	var found []state.Configuration
+	amend := func(current state.Configuration) (state.Configuration, error) {
+		found = append(found, current)
+		return configuration(5, "a, amended"), nil
+	}
+	first, err := ReplaceConfiguration(0, configuration(3, "a"))(state.Record{})
+	require.NoError(t, err)
+	amended, err := AmendConfiguration(3, order, amend)(first)
+	require.NoError(t, err)
+	assert.Equal(t, []state.Configuration{configuration(3, "a")}, found)
+	assert.Equal(t, configuration(5, "a, amended"), amended.Configuration)
+	third, err := ReplaceConfiguration(5, configuration(9, "c"))(amended)
+	require.NoError(t, err)
+
+	other := state.Accepted{Version: 5, Digest: state.DigestOf([]byte("another order"))}
+	for _, tried := range []struct {
+		name     string
+		record   state.Record
+		basedOn  uint64
+		order    state.Accepted
+		expected func(error) bool
+	}{
+		{"again at once", amended, 3, order, isNoChange},
+		{"again after another change", third, 3, order, isNoChange},
+		{"another amendment on the same base", amended, 3, other, result.VersionConflict.Is},
+		{"on a version to come", amended, 7, other, result.VersionConflict.Is},
+		{"a number that is not above", amended, 5, other, result.VersionNotAbove.Is},
+	} {
+		_, err := AmendConfiguration(tried.basedOn, tried.order, amend)(tried.record)
+		assert.True(t, tried.expected(err), "%s: %v", tried.name, err)
+	}
+	assert.Len(t, found, 1, "only an order that fits is computed")
+
+	_, err = ReplaceConfiguration(3, configuration(5, "a, amended"))(amended)
+	assert.Equal(t, ErrNoChange, err, "a replacement by what is in force")
+	_, err = AmendConfiguration(9, other, amend)(third)
+	assert.True(t, result.VersionNotAbove.Is(err), "%v", err)
+	refusal := result.ServiceUnknown.With("x")
+	_, err = AmendConfiguration(9, state.Accepted{Version: 10}, func(state.Configuration) (state.Configuration, error) {
+		return state.Configuration{}, refusal
+	})(third)
+	assert.Equal(t, refusal, err)
+}
+
 func isNoChange(err error) bool { return err == ErrNoChange }
 
 func TestHistoryIsBoundedAndUpdatesLeaveTheirInputAlone(t *testing.T) {
@@ -76,7 +123,9 @@
 			assert.Equal(t, ErrNoChange, err, "version %d", version+1)
 		}
 	}
-	_, err := ReplaceConfiguration(20, configuration(21, "another document"))(record)
+	_, err := AmendConfiguration(19, state.Accepted{Version: 20}, nil)(record)
+	assert.True(t, result.RegisterUnclear.Is(err), "%v", err)
+	_, err = ReplaceConfiguration(20, configuration(21, "another document"))(record)
 	assert.True(t, result.VersionConflict.Is(err), "%v", err)
 	_, err = ReplaceConfiguration(state.HistoryLimit+20, configuration(7, "on the newest"))(record)
 	assert.True(t, result.VersionNotAbove.Is(err), "%v", err)
--- a/serving/result/document.go
+++ b/serving/result/document.go
@@ -10,4 +10,8 @@
 	ServiceTwice       = define(403, http.StatusBadRequest, "two services have the same name")
 	RouteTwice         = define(404, http.StatusBadRequest, "two routes share host and prefix")
 	RouteWeightless    = define(405, http.StatusBadRequest, "the weights of a route add up to 0")
+	AmendedListUnknown = define(406, http.StatusBadRequest, "an amendment names a list that configurations don't have")
+	AmendedItemUnnamed = define(407, http.StatusBadRequest, "an amendment has an item without a name")
+	AmendedNameTwice   = define(408, http.StatusBadRequest, "an amendment names an item twice")
+	AmendedTooLarge    = define(409, http.StatusBadRequest, "the amended configuration is larger than may be sent")
 )
--- a/serving/state/record.go
+++ b/serving/state/record.go
@@ -54,7 +54,8 @@
 	return document, errors.Wrap(err, "expand configuration")
 }
 
-// Accepted names a configuration that has been in force. It lets a repeated order be acknowledged again.
+// Accepted names an order that has put a configuration in force, by the configuration's version and the order's bytes.
+// It lets a repeated order be acknowledged again.
 type Accepted struct {
 	Version uint64 `cbor:"1,keyasint"`
 	Digest  Digest `cbor:"2,keyasint"`
