--- a/proof/system/control_test.go
+++ b/proof/system/control_test.go
@@ -133,20 +133,51 @@
 func TestTwoOperatorsWhoseAnswersAreLost(t *testing.T) {
 	c := begin(t)
 	for round := range 10 {
-		c.race(c.version + 1 + uint64(round%3))
+		version := c.version + 1 + uint64(round%3)
+		c.race(version, replacement(c.version, version, "side0"), replacement(c.version, version, "side1"))
 	}
 }
 
+// TestAmendmentAgainstReplacement is the same with an amendment on one side. What is in force is what the winner asked
+// for, on every core and at every agent.
+func TestAmendmentAgainstReplacement(t *testing.T) {
+	c := begin(t)
+	for round := range 10 {
+		version := c.version + 1 + uint64(round%3)
+		mark := fmt.Sprint("amended", round)
+		c.race(version, replacement(c.version, version, "whole"), amendment(c.version, version, mark))
+		var first string
+		for _, n := range c.cores {
+			_, read := n.call(order{method: http.MethodGet, path: "/Settings.Read"})
+			if first == "" {
+				first = read
+			}
+			assert.Equal(t, first, read, n.name)
+		}
+		assert.Contains(t, first, fmt.Sprintf(`"edition":%d,`, version))
+		t.Logf("round %d: the amendment won: %t", round, strings.Contains(first, mark))
+	}
+	for _, n := range c.agents {
+		c.hasVersion(n)
+	}
+}
+
+// amendment adds a service that no route uses.
+func amendment(basedOn, version uint64, service string) order {
+	return order{method: http.MethodPost, path: "/Settings.Amend", basedOn: strconv.FormatUint(basedOn, 10),
+		body: fmt.Appendf(nil, `{"edition":%d,"upsert":{"carriers":[{"name":%q}]}}`, version, service)}
+}
+
 // race has two operators change the configuration under the same number on the same version, through all cores. Each
 // order is sent again and again as if no answer had come.
-func (c *cluster) race(version uint64) {
+func (c *cluster) race(version uint64, orders ...order) {
 	c.t.Helper()
 	var both sync.WaitGroup
 	acknowledged := make([]int, 2)
 	refused := make([]int, 2)
 	for side := range 2 {
 		both.Go(func() {
-			sent := replacement(c.version, version, fmt.Sprint("side", side))
+			sent := orders[side]
 			for attempt := range 9 {
 				switch status, _ := c.cores[(side+attempt)%len(c.cores)].call(sent); status {
 				case http.StatusOK:
