--- /dev/null
+++ b/cmd/rowantrial/rowantrial_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// repository makes a repository with one commit.
+func repository(t *testing.T) string {
+	folder := t.TempDir()
+	require.NoError(t, os.MkdirAll(filepath.Join(folder, "journal"), 0o755))
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "value"), []byte("1\n"), 0o600))
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "journal", "old"), []byte("{}"), 0o600))
+	for _, arguments := range [][]string{{"init", "-q"}, {"add", "-A"},
+		{"-c", "user.name=t", "-c", "user.email=t@example", "commit", "-q", "-m", "first"}} {
+		run := exec.Command("git", arguments...)
+		run.Dir = folder
+		printed, err := run.CombinedOutput()
+		require.NoError(t, err, "%s", printed)
+	}
+	return folder
+}
+
+// bench is a program that stands for the bench: it writes a report with the value that the clone holds, and an entry
+// of the journal.
+func bench(t *testing.T) string {
+	file := filepath.Join(t.TempDir(), "bench")
+	script := `#!/bin/sh
+while [ $# -gt 0 ]; do case "$1" in --report) report="$2";; --seed) seed="$2";; esac; shift; done
+value=$(cat value)
+[ "$value" = 9 ] && { echo "no such day" >&2; exit 1; }
+echo "{\"G\":0.$value,\"parts\":[[\"whole day\",0.7,0.$value]],\"prices\":[[\"probes\",3,0.01]],\"classes\":[{\"name\":\"chat\",\"worth\":0.5}],\"breaks\":{}}" > "$report"
+echo "{}" > "journal/entry-$value-$seed"
+`
+	require.NoError(t, os.WriteFile(file, []byte(script), 0o700))
+	return file
+}
+
+func TestVariantsAreComparedByPairs(t *testing.T) {
+	top := repository(t)
+	scratch := t.TempDir()
+	patch := filepath.Join(scratch, "two.patch")
+	require.NoError(t, os.WriteFile(patch, []byte("--- a/value\n+++ b/value\n@@ -1 +1 @@\n-1\n+2\n"), 0o600))
+	variants, err := parseVariants(t.Context(), top, []string{"base=HEAD", "two=HEAD+" + patch})
+	require.NoError(t, err)
+	command := &trialCommand{Bench: bench(t), Site: []string{"s.toml"}, Day: []string{"quiet"}, Seed: []int{1, 2}, Jobs: 2,
+		Scratch: scratch, Why: "test"}
+	results := command.playAll(t.Context(), top, command.plays(variants))
+	require.Len(t, results, 4)
+	var out strings.Builder
+	writeTables(&out, variants, results)
+	assert.Contains(t, out.String(), "two against base")
+	assert.Contains(t, out.String(), "+0.1000")
+	assert.Contains(t, out.String(), "+- 0.0000")
+	assert.FileExists(t, filepath.Join(top, "journal", "entry-2-1"), "the entries of trials are kept")
+	unchanged, err := os.ReadFile(filepath.Join(top, "value"))
+	require.NoError(t, err)
+	assert.Equal(t, "1\n", string(unchanged))
+}
+
+// TestPlayThatFailsIsTold: it has no report, and the others are played.
+func TestPlayThatFailsIsTold(t *testing.T) {
+	top := repository(t)
+	require.NoError(t, os.WriteFile(filepath.Join(top, "value"), []byte("9\n"), 0o600))
+	stash := func(ctx context.Context) []*variant {
+		run := exec.CommandContext(ctx, "git", "config", "user.email", "t@example")
+		run.Dir = top
+		require.NoError(t, run.Run())
+		run = exec.CommandContext(ctx, "git", "config", "user.name", "t")
+		run.Dir = top
+		require.NoError(t, run.Run())
+		variants, err := parseVariants(ctx, top, []string{"base=HEAD", "nine=WORKTREE"})
+		require.NoError(t, err)
+		return variants
+	}
+	variants := stash(t.Context())
+	command := &trialCommand{Bench: bench(t), Site: []string{"s.toml"}, Day: []string{"quiet"}, Seed: []int{1}, Jobs: 1,
+		Scratch: t.TempDir(), Why: "test"}
+	results := command.playAll(t.Context(), top, command.plays(variants))
+	require.NoError(t, results[0].err)
+	require.Error(t, results[1].err)
+	var out strings.Builder
+	writeTables(&out, variants, results)
+	assert.Contains(t, out.String(), "not played: s.toml-quiet-1-nine")
+}
+
+func TestVariantsThatCannotBe(t *testing.T) {
+	top := repository(t)
+	for _, text := range []string{"HEAD", "=HEAD", "name=no-such-revision"} {
+		_, err := parseVariants(t.Context(), top, []string{text})
+		assert.Error(t, err, text)
+	}
+}
+
+func TestStandardErrorOfOnePairIsUnknown(t *testing.T) {
+	assert.True(t, math.IsNaN(standardError([]float64{1})))
+	assert.InDelta(t, 1, standardError([]float64{1, 3}), 1e-9)
+}
+
+func TestBrokenRuleIsTold(t *testing.T) {
+	broken := &report{Breaks: map[string]any{"TWICE": 1}}
+	assert.Contains(t, broken.trouble(), "TWICE")
+	assert.Empty(t, (&report{}).trouble())
+}
