--- a/proof/system/control_test.go
+++ b/proof/system/control_test.go
@@ -133,11 +133,16 @@
 func TestTwoOperatorsWhoseAnswersAreLost(t *testing.T) {
 	c := begin(t)
 	for round := range 10 {
-		version := c.version + 1 + uint64(round%3)
-		c.race(version, replacement(c.version, version, "side0"), replacement(c.version, version, "side1"))
+		c.raceReplacements(c.version + 1 + uint64(round%3))
 	}
 }
 
+// raceReplacements has two whole configurations race under the same number.
+func (c *cluster) raceReplacements(version uint64) {
+	c.t.Helper()
+	c.race(version, replacement(c.version, version, "side0"), replacement(c.version, version, "side1"))
+}
+
 // TestAmendmentAgainstReplacement is the same with an amendment on one side. What is in force is what the winner asked
 // for, on every core and at every agent.
 func TestAmendmentAgainstReplacement(t *testing.T) {
@@ -170,8 +175,9 @@
 
 // race has two operators change the configuration under the same number on the same version, through all cores. Each
 // order is sent again and again as if no answer had come.
-func (c *cluster) race(version uint64, orders ...order) {
+func (c *cluster) race(version uint64, one, other order) {
 	c.t.Helper()
+	orders := []order{one, other}
 	var both sync.WaitGroup
 	acknowledged := make([]int, 2)
 	refused := make([]int, 2)
--- a/proof/system/cut_test.go
+++ b/proof/system/cut_test.go
@@ -95,14 +95,14 @@
 			acknowledged.Store(c.version)
 			read := readAllTheTime(t, off, &acknowledged)
 			for until := time.Now().Add(cutSpan); time.Now().Before(until); {
-				c.race(c.version + 2)
+				c.raceReplacements(c.version + 2)
 				acknowledged.Store(c.version)
 			}
 			off.cannotReach()
 			for _, other := range c.others(off) {
 				other.cannotReach()
 			}
-			c.race(c.version + 2)
+			c.raceReplacements(c.version + 2)
 			acknowledged.Store(c.version)
 			c.readsTheNewest(off)
 			t.Logf("%d reads, %d answered, version %d", read.stop(), read.answered.Load(), c.version)
