serving/state: a record remembers 1,088 updates in the room of 512, and says when one is older

Change: the newest 64 updates are kept whole, 1,024 before them as version and 8 bytes of the digest (OlderHistory). Older ones get R0205, "the change is older than the history of changes".

--- a/serving/errcode/register.go
+++ b/serving/errcode/register.go
@@ -14,4 +14,6 @@
 	VersionNotAbove = define(203, http.StatusBadRequest, "the configuration's version is not above the current one")
 	// RegisterNotReady: this process doesn't know the register's replicas yet.
 	RegisterNotReady = define(204, http.StatusServiceUnavailable, "the register's replicas are not known yet")
+	// UpdateForgotten: the change may have been committed so long ago that the history doesn't reach back to it.
+	UpdateForgotten = define(205, http.StatusServiceUnavailable, "the change is older than the history of changes; it may have been in force")
 )
--- a/serving/operator/httpbody.go
+++ b/serving/operator/httpbody.go
@@ -59,11 +59,14 @@
 	}
 }
 
-// changeError returns an error by which the committed record rejects a change as it is, and any other error as one of
-// the given kind, for which the caller retries.
+// changeError returns an error that follows from the committed record as it is, and any other error as one of the given
+// kind, for which the caller retries.
 func changeError(err error, otherwise errcode.Kind) error {
-	switch numbered := errcode.Of(err); numbered.Kind.Status {
-	case http.StatusBadRequest, http.StatusPreconditionFailed:
+	numbered := errcode.Of(err)
+	switch {
+	case numbered.Kind.Status == http.StatusBadRequest, numbered.Kind.Status == http.StatusPreconditionFailed:
+		return numbered
+	case numbered.Kind.Code == errcode.UpdateForgotten.Code:
 		return numbered
 	default:
 		return otherwise.With("%v", err)
--- a/serving/register/update.go
+++ b/serving/register/update.go
@@ -27,7 +27,7 @@
 //
 // It is rejected with errcode.VersionConflict and errcode.VersionNotAbove. A configuration that is or was in force,
 // byte for byte, is no change. If the history is too short to tell, the update is rejected with
-// errcode.RegisterInDoubt: what was acknowledged once must never be reported as rejected.
+// errcode.UpdateForgotten: what was acknowledged once must never be reported as rejected.
 func ReplaceConfiguration(basedOn uint64, configuration state.Configuration) Update {
 	applied := state.AppliedUpdate{Version: configuration.Version, Digest: configuration.Digest}
 	return func(record state.Record) (state.Record, error) {
@@ -68,8 +68,9 @@
 	switch {
 	case record.WasApplied(applied.Version, applied.Digest):
 		return ErrNoChange
-	case basedOn != current && applied.Version <= record.TruncatedVersion:
-		return errcode.RegisterInDoubt.With("version %d may have been in force long ago", applied.Version)
+	case basedOn != current && record.MayBeForgotten(applied.Version):
+		return errcode.UpdateForgotten.With("version %d; the history begins after version %d",
+			applied.Version, max(record.ForgottenVersion, record.TruncatedVersion))
 	case basedOn != current:
 		return errcode.VersionConflict.With("version %d is current, not %d", current, basedOn)
 	case applied.Version <= current:
@@ -83,11 +84,7 @@
 	record state.Record, configuration state.Configuration, applied state.AppliedUpdate,
 ) state.Record {
 	record.Configuration = configuration
-	record.History = append(slices.Clone(record.History), applied)
-	if excess := len(record.History) - state.MaxHistory; excess > 0 {
-		record.TruncatedVersion = record.History[excess-1].Version
-		record.History = record.History[excess:]
-	}
+	record.AddToHistory(applied)
 	return record
 }
 
--- a/serving/register/update_test.go
+++ b/serving/register/update_test.go
@@ -92,42 +92,46 @@
 
 func isNoChange(err error) bool { return errors.Is(err, ErrNoChange) }
 
+// historyLength is the number of changes that a record remembers.
+const historyLength = state.MaxHistory + state.MaxOlderHistory
+
 func TestReplaceConfiguration_BoundsHistoryAndKeepsInput(t *testing.T) {
 	record := state.Record{}
-	for version := range uint64(state.MaxHistory + 20) {
-		before := slices.Clone(record.History)
+	for version := range uint64(historyLength + 20) {
+		before, older := slices.Clone(record.History), slices.Clone(record.OlderHistory)
 		next, err := ReplaceConfiguration(version, configuration(version+1, fmt.Sprint(version)))(record)
 		require.NoError(t, err)
 		require.Equal(t, before, record.History)
+		require.Equal(t, older, record.OlderHistory)
 		record = next
 	}
 	assert.Len(t, record.History, state.MaxHistory)
-	assert.Equal(t, uint64(20), record.TruncatedVersion)
-	assert.Equal(t, uint64(state.MaxHistory+20), record.History[state.MaxHistory-1].Version)
+	assert.Equal(t, uint64(20), record.ForgottenVersion)
+	assert.Equal(t, uint64(historyLength+20), record.History[state.MaxHistory-1].Version)
 }
 
 // TestReplaceConfiguration_InDoubtBeforeHistory checks that a repeated update from before the history is in doubt,
 // never rejected, and that one in the history is recognized.
 func TestReplaceConfiguration_InDoubtBeforeHistory(t *testing.T) {
 	record := state.Record{}
-	for version := range uint64(state.MaxHistory + 20) {
+	for version := range uint64(historyLength + 20) {
 		next, err := ReplaceConfiguration(version, configuration(version+1, fmt.Sprint(version)))(record)
 		require.NoError(t, err)
 		record = next
 	}
-	for version := range uint64(state.MaxHistory + 20) {
+	for version := range uint64(historyLength + 20) {
 		_, err := ReplaceConfiguration(version, configuration(version+1, fmt.Sprint(version)))(record)
 		if version+1 <= 20 {
-			assert.True(t, errcode.RegisterInDoubt.Is(err), "version %d: %v", version+1, err)
+			assert.True(t, errcode.UpdateForgotten.Is(err), "version %d: %v", version+1, err)
 		} else {
 			assert.Equal(t, ErrNoChange, err, "version %d", version+1)
 		}
 	}
 	_, err := AmendConfiguration(19, state.AppliedUpdate{Version: 20}, nil)(record)
-	assert.True(t, errcode.RegisterInDoubt.Is(err), "%v", err)
+	assert.True(t, errcode.UpdateForgotten.Is(err), "%v", err)
 	_, err = ReplaceConfiguration(20, configuration(21, "another document"))(record)
 	assert.True(t, errcode.VersionConflict.Is(err), "%v", err)
-	_, err = ReplaceConfiguration(state.MaxHistory+20, configuration(7, "on the newest"))(record)
+	_, err = ReplaceConfiguration(historyLength+20, configuration(7, "on the newest"))(record)
 	assert.True(t, errcode.VersionNotAbove.Is(err), "%v", err)
 }
 
--- a/serving/state/record.go
+++ b/serving/state/record.go
@@ -9,16 +9,10 @@
 	Voters        ReplicaSet      `cbor:"5,keyasint"`
 	// TruncatedVersion is the highest version that was removed from History; zero: none.
 	TruncatedVersion uint64 `cbor:"6,keyasint,omitempty"`
-}
-
-// MaxHistory is the length of a record's History.
-const MaxHistory = 512
-
-// AppliedUpdate identifies an update that has set the configuration, by the version that it set and the digest of what
-// the operator sent. A repeated update is recognized by it and acknowledged again.
-type AppliedUpdate struct {
-	Version uint64 `cbor:"1,keyasint"`
-	Digest  Digest `cbor:"2,keyasint"`
+	// OlderHistory has the updates that were removed from History, at most MaxOlderHistory.
+	OlderHistory PackedHistory `cbor:"7,keyasint,omitempty"`
+	// ForgottenVersion is the highest version that was removed from OlderHistory too; zero: none.
+	ForgottenVersion uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Evacuation is an operator's order to send no more requests to the endpoints of a zone, or the end of that order.
@@ -37,13 +31,3 @@
 	}
 	return false
 }
-
-// WasApplied reports whether an update was applied, as far as the history goes back.
-func (r *Record) WasApplied(version uint64, digest Digest) bool {
-	for _, applied := range r.History {
-		if applied.Version == version && applied.Digest == digest {
-			return true
-		}
-	}
-	return false
-}
--- a/test/integration/serving/control_test.go
+++ b/test/integration/serving/control_test.go
@@ -15,6 +15,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"rowanlink/serving/errcode"
+	"rowanlink/serving/state"
 )
 
 // These tests are the hardest cases of the control plane: a core that is suspended and resumes, all power lost
@@ -238,16 +241,19 @@
 }
 
 const (
-	// missedChanges is more than the history in the record holds.
+	// missedChanges is more than a day's changes, and all of them are remembered.
 	missedChanges = 1000
+	// furtherChanges, together with missedChanges, is more than the history in the record holds.
+	furtherChanges = state.MaxHistory + state.MaxOlderHistory - missedChanges + 1
 	// largeRoutes is the number of routes of a document of some 60 KB.
 	largeRoutes = 450
 	// maxMemoryKB bounds the resident memory of a process: a machine has 184 MB and more.
 	maxMemoryKB = 150_000
 )
 
-// TestMissedThousandChanges: a core and an agent are down during more changes than the history holds, and restart with
-// the newest one. A change acknowledged first is not rejected. Memory and disk stay bounded.
+// TestMissedThousandChanges: a core and an agent are down during more changes than a day has, and restart with the
+// newest one. A change acknowledged first is acknowledged again, and after more changes than the history holds it is
+// said to be older. Memory and disk stay bounded.
 func TestMissedThousandChanges(t *testing.T) {
 	c := startCluster(t)
 	first := replaceRequest(c.version, c.version+1)
@@ -272,10 +278,18 @@
 	c.eventually("it votes", func() bool { return c.replicaOf(c.cores[2], c.cores[2].address(portMembers)) != "" })
 	for _, n := range c.cores {
 		status, _ := n.call(first)
-		assert.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, status, "acknowledged long ago")
+		assert.Equal(t, http.StatusOK, status, "acknowledged long ago")
 		status, _ = n.call(replaceRequest(c.version-1, c.version, routes...))
 		assert.Equal(t, http.StatusOK, status, "acknowledged just now")
 	}
+	for range furtherChanges {
+		c.configure(c.version+1, routes...)
+	}
+	for _, n := range c.cores {
+		status, body := n.call(first)
+		assert.Equal(t, http.StatusServiceUnavailable, status, "older than the history")
+		assert.Contains(t, body, errcode.UpdateForgotten.Message)
+	}
 	for _, n := range c.nodes() {
 		used := n.peakMemoryKB()
 		t.Logf("%s on %s: %d KB at its peak, %d KB on disk", n.program, n.name, used, n.diskUsedKB())
