--- a/cluster/member/custody/store.go
+++ b/cluster/member/custody/store.go
@@ -74,7 +74,11 @@
 	}
 	s.table = shardmap.NewCustodyTable(records, isPending)
 	// The recovered records are written at once: a later process, with other webhooks pending, might recover others.
-	return s, s.writeChanges(before)
+	if err := s.writeChanges(before); err != nil {
+		_ = journal.Close() // the first error counts
+		return nil, err
+	}
+	return s, nil
 }
 
 // readEntries returns the last record of each name in the journal.
--- a/cluster/member/custody/store_test.go
+++ b/cluster/member/custody/store_test.go
@@ -1,6 +1,7 @@
 package custody
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
@@ -126,3 +127,22 @@
 	require.ErrorContains(t, err, "record 1")
 	assert.Empty(t, openFilesBelow(t, dir))
 }
+
+// TestOpen_ClosesJournalOnFailedWrite opens a folder with records that change at the start, as their webhooks aren't
+// pending any more, where the disk has no room for the changes.
+func TestOpen_ClosesJournalOnFailedWrite(t *testing.T) {
+	dir := t.TempDir()
+	s := openStore(t, dir, 1)
+	const records = 200
+	for i := range records {
+		update(t, s, inflight.RequestID(fmt.Sprint(i)), func(table *shardmap.CustodyTable, id shardmap.WebhookID) {
+			_, ok := table.BeginOffer(id, inflight.Now()+100*api.Second, shardmap.Offer{To: "b"})
+			require.True(t, ok)
+		})
+	}
+	require.NoError(t, s.Close())
+	const tooSmallMB = 0.002
+	_, err := Open(dir, tooSmallMB, 100*api.Second, func(shardmap.WebhookID) bool { return false })
+	require.Error(t, err)
+	assert.Empty(t, openFilesBelow(t, dir))
+}
--- a/cluster/member/handoff/batch_test.go
+++ b/cluster/member/handoff/batch_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -119,3 +121,35 @@
 	assert.Len(t, b.queries, MaxBatch)
 	assert.Equal(t, []shardmap.MoveID{5}, b.moves)
 }
+
+// TestClose_WaitsForCallsInFlight closes a manager while a peer doesn't reply to a query.
+func TestClose_WaitsForCallsInFlight(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	m := newTestManager(t)
+	client := transport.NewClient("a", map[cluster.MemberID]string{"b": listener.Addr().String()})
+	t.Cleanup(client.Close)
+	m.Peers = peer.NewClient(client)
+	id := custody.IDOf("offered")
+	err = m.Custody.Update([]shardmap.WebhookID{id}, func(table *shardmap.CustodyTable) {
+		table.BeginOffer(id, inflight.Now()+100*api.Second, shardmap.Offer{To: "b"})
+	})
+	require.NoError(t, err)
+	w := &inflight.Webhook{RequestID: "offered", Destination: 7, Deadline: inflight.Now() + 100*api.Second}
+	b := &batch{queries: []eventloop.Parked{{Webhook: w, MayBeElsewhere: true}}}
+
+	require.True(t, m.tryStart("b"))
+	var ended atomic.Bool
+	go func() {
+		m.sendBatch(mapOwnedBy(t, "c"), "b", b)
+		ended.Store(true)
+	}()
+	connection, err := listener.Accept()
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	assert.False(t, ended.Load(), "the query is in flight")
+	m.Close()
+	assert.Empty(t, m.inProgress)
+	assert.False(t, m.tryStart("b"), "no batch is started any more")
+}
--- a/cluster/member/handoff/manager.go
+++ b/cluster/member/handoff/manager.go
@@ -37,6 +37,8 @@
 	arrivals   map[inflight.RequestID]shardmap.MoveID // webhooks that came here by a move that has not ended
 	stateSent  map[shardmap.MoveID]bool               // its target has the learned state
 	inProgress map[cluster.MemberID]bool              // a batch for it is being sent
+	closed     bool                                   // no batch is started any more
+	running    sync.WaitGroup                         // the goroutines of the batches
 }
 
 // New returns a Manager that has handed off nothing.
@@ -90,22 +92,45 @@
 	defer m.finish(to)
 	m.queryInDoubt(to, b.queries)
 	for _, move := range b.moves {
+		if m.isClosed() {
+			return
+		}
 		m.offerWebhooks(shardMap, to, move, b.offers[move])
 	}
 }
 
+// tryStart reports whether a batch for a peer may be sent now. The caller then calls finish at its end.
 func (m *Manager) tryStart(to cluster.MemberID) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	wasInProgress := m.inProgress[to]
+	if m.closed || m.inProgress[to] {
+		return false
+	}
 	m.inProgress[to] = true
-	return !wasInProgress
+	m.running.Add(1)
+	return true
 }
 
 func (m *Manager) finish(to cluster.MemberID) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	delete(m.inProgress, to)
+	m.mu.Unlock()
+	m.running.Done()
+}
+
+func (m *Manager) isClosed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.closed
+}
+
+// Close starts no further batches and waits for the calls in flight, each of which has a time-out of a fraction of the
+// lease TTL. The custody store and the event loop, which the replies change, must be open until then.
+func (m *Manager) Close() {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
+	m.running.Wait()
 }
 
 // forgetEndedMoves forgets by which move webhooks arrived, once the owner of the range is decided.
--- a/cluster/member/lifecycle.go
+++ b/cluster/member/lifecycle.go
@@ -159,6 +159,7 @@
 	close(m.ended)
 	m.sites.Close()
 	m.done.Wait()
+	m.handoff.Close()
 	m.session.Close()
 	if m.raft != nil {
 		if err := m.raft.Close(); err != nil {
--- a/serving/gossip/delivery.go
+++ b/serving/gossip/delivery.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -113,9 +114,9 @@
 	e.pending.recordSent(now)
 	batch := e.newBatch(now)
 	batch.offerAll = len(deliveries) > maxPushedEntries
-	for id, planned := range deliveries {
+	for _, id := range slices.SortedFunc(maps.Keys(deliveries), entryID.compare) {
 		if stored, ok := e.tables[id.table].entries[id.key]; ok {
-			batch.add(stored.entry, planned)
+			batch.add(stored.entry, deliveries[id])
 		}
 	}
 	return batch.envelopes()
--- a/serving/gossip/digest.go
+++ b/serving/gossip/digest.go
@@ -1,6 +1,9 @@
 package gossip
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // BucketCount is the number of buckets into which the keys of a table are divided for comparison.
 const BucketCount = 32
@@ -81,6 +84,9 @@
 			}
 		}
 	}
+	for _, listing := range listings {
+		slices.SortFunc(listing.Headers, func(a, b Header) int { return cmp.Compare(a.Key, b.Key) })
+	}
 	return listings
 }
 
@@ -132,5 +138,6 @@
 			entries = append(entries, expired.entry)
 		}
 	}
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
 	return entries
 }
--- a/serving/gossip/entry.go
+++ b/serving/gossip/entry.go
@@ -5,6 +5,7 @@
 package gossip
 
 import (
+	"cmp"
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
@@ -82,6 +83,11 @@
 	key   string
 }
 
+// compare orders entries by table and key.
+func (id entryID) compare(other entryID) int {
+	return cmp.Or(cmp.Compare(id.table, other.table), cmp.Compare(id.key, other.key))
+}
+
 // hash returns the entry's summand in the digests. It depends on the table, the key and the version.
 func (h Header) hash() uint64 {
 	var numbers [17]byte
--- a/serving/membership/evaluation.go
+++ b/serving/membership/evaluation.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// leastCertainVotes is the number of watchers that have to suspect a member for it to be marked as down unprobed, unless
+// it has only one.
+const leastCertainVotes = 2
+
 // isValid reports whether a suspicion refers to the newest version of a live member and was issued by the newest
 // incarnation of its watcher.
 func (t *Table) isValid(suspicion Suspicion) bool {
@@ -49,7 +53,8 @@
 	for changed := true; changed; {
 		changed = false
 		for _, name := range names {
-			if set[name] && !t.isSuspectedByMajority(name, suspecting[name], set) {
+			votes, voters := t.countVotes(name, suspecting[name], set)
+			if set[name] && 2*votes <= voters {
 				delete(set, name)
 				changed = true
 			}
@@ -58,14 +63,16 @@
 	return set
 }
 
-// suspectedByMostLiveWatchers returns the members of a set that the majority of their live watchers suspects. Those
-// that it has found lose their own vote in a further round.
+// suspectedByMostLiveWatchers returns the members of a set that the majority of their live watchers suspects, and two
+// at least. Those that it has found lose their own vote in a further round.
 func (t *Table) suspectedByMostLiveWatchers(suspecting map[string][]string, set map[string]bool) map[string]bool {
 	found := map[string]bool{}
 	for {
 		var more []string
 		for name := range set {
-			if !found[name] && t.isSuspectedByMajority(name, suspecting[name], found) {
+			votes, voters := t.countVotes(name, suspecting[name], found)
+			needed := min(leastCertainVotes, len(t.cachedWatchers(name)))
+			if !found[name] && votes >= needed && 2*votes > voters {
 				more = append(more, name)
 			}
 		}
@@ -89,9 +96,8 @@
 	return suspecting
 }
 
-// isSuspectedByMajority reports whether most of a member's live watchers, without the excluded ones, suspect it.
-func (t *Table) isSuspectedByMajority(name string, suspecting []string, excluded map[string]bool) bool {
-	votes, voters := 0, 0
+// countVotes counts a member's live watchers that are not excluded, and of them those that suspect it.
+func (t *Table) countVotes(name string, suspecting []string, excluded map[string]bool) (votes, voters int) {
 	for _, watcher := range t.cachedWatchers(name) {
 		if excluded[watcher.member.Name] || !watcher.isLive() {
 			continue
@@ -101,7 +107,7 @@
 			votes++
 		}
 	}
-	return 2*votes > voters
+	return votes, voters
 }
 
 // cachedWatchers returns a member's watchers, which change only with the ring.
--- a/serving/membership/tick.go
+++ b/serving/membership/tick.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -21,8 +22,8 @@
 		t.watchedStale = false
 		t.updateWatched(now)
 	}
-	for name, watched := range t.watched {
-		suspicions = append(suspicions, t.checkWatched(now, name, watched)...)
+	for _, name := range slices.Sorted(maps.Keys(t.watched)) {
+		suspicions = append(suspicions, t.checkWatched(now, name, t.watched[name])...)
 	}
 	removed = t.removeExpired(now)
 	if t.needsEvaluation {
--- a/serving/store/endpointstore.go
+++ b/serving/store/endpointstore.go
@@ -50,11 +50,13 @@
 // endpointFile is owned by the goroutine that uses the disk.
 type endpointFile struct {
 	databaseFile[*sqliteFile]
+	directorySynced bool                         // since the file was opened, so that its creation is durable
+	syncDirectory   func(directory string) error // a parameter for tests
 }
 
 // OpenEndpointStore returns a store in a directory. The disk is first used by Load or Save.
 func OpenEndpointStore(directory string, log *zerolog.Logger) *EndpointStore {
-	file := &endpointFile{newDatabaseFile[*sqliteFile](directory, log)}
+	file := &endpointFile{databaseFile: newDatabaseFile[*sqliteFile](directory, log), syncDirectory: syncDirectory}
 	return &EndpointStore{file: actor.Start(file)}
 }
 
@@ -163,20 +165,27 @@
 	return nil
 }
 
-// open opens the file unless it is open.
+// open opens the file unless it is open, and makes its creation durable. After an error the next call tries again.
 func (f *endpointFile) open() error {
 	if f.closed {
 		return errClosed
 	}
-	if f.isOpen() {
+	if !f.isOpen() {
+		opened, err := openSQLite(filepath.Join(f.directory, endpointFileName), endpointFileLayout)
+		if err != nil {
+			return err
+		}
+		f.database = opened
+		f.directorySynced = false
+	}
+	if f.directorySynced {
 		return nil
 	}
-	opened, err := openSQLite(filepath.Join(f.directory, endpointFileName), endpointFileLayout)
-	if err != nil {
+	if err := f.syncDirectory(f.directory); err != nil {
 		return err
 	}
-	f.database = opened
-	return syncDirectory(f.directory)
+	f.directorySynced = true
+	return nil
 }
 
 // remove deletes a corrupt file: it was only a copy.
--- a/serving/store/endpointstore_test.go
+++ b/serving/store/endpointstore_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -106,3 +107,28 @@
 	_, err = store.Load()
 	assert.Error(t, err, "closed")
 }
+
+// TestEndpointFile_SyncsItsDirectoryAgainAfterAFailure: a save may only succeed once the file's creation is durable.
+func TestEndpointFile_SyncsItsDirectoryAgainAfterAFailure(t *testing.T) {
+	log := zerolog.Nop()
+	file := &endpointFile{databaseFile: newDatabaseFile[*sqliteFile](t.TempDir(), &log)}
+	t.Cleanup(file.closeForGood)
+	failure := errors.New("disk full")
+	synced := 0
+	file.syncDirectory = func(string) error {
+		synced++
+		return failure
+	}
+	for range 2 {
+		require.ErrorIs(t, file.save(EndpointChanges{Snapshot: true}), failure)
+	}
+	assert.Equal(t, 2, synced)
+	failure = nil
+	for range 2 {
+		require.NoError(t, file.save(EndpointChanges{Snapshot: true}))
+	}
+	assert.Equal(t, 3, synced, "once, as long as the file is open")
+	file.close()
+	require.NoError(t, file.save(EndpointChanges{Snapshot: true}))
+	assert.Equal(t, 4, synced, "after it was opened again")
+}
