--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint catalogue run toy system system-toy chaos-cluster chaos-serving random-register
+.PHONY: build test lint catalogue run toy system system-toy chaos-cluster chaos-serving random-register random-members
 
 # As deploy/balancer.toml does: the users' machines ask for a program that is linked against the C library.
 export CGO_ENABLED = 1
@@ -25,6 +25,10 @@
 random-register:
 	go test -count=1 -timeout 0 -v -run 'TestRandomHistories$$' ./serving/register -rapid.checks=$(or $(N),1000) | grep -v '/history'
 
+# Random histories of faults among members of a system: N of them.
+random-members:
+	go test -count=1 -timeout 0 -v -run 'TestMembers_RecoverFromFaults$$' ./serving/member -rapid.checks=$(or $(N),1000) | grep -v 'draw'
+
 lint:
 	test -z "$$(gofmt -l .)"
 	go vet ./...
--- a/serving/process/process.go
+++ b/serving/process/process.go
@@ -57,6 +57,9 @@
 	ctx, stop := signal.NotifyContext(log.WithContext(context.Background()), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	event.ProgramStarted.Log(&log).Str("version", Version()).Send()
+	for _, key := range processSettings.SettingsWithoutEffect() {
+		event.SettingIgnored.Log(&log).Str("setting", key).Send()
+	}
 	if err := run(ctx, flags, processSettings, &log); err != nil {
 		event.ProgramFailed.Log(&log).Err(err).Send()
 		os.Exit(1)
--- a/serving/settings/bounds.go
+++ b/serving/settings/bounds.go
@@ -1,10 +1,22 @@
 package settings
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // boundSettings are the service levels that operators require. A deployment may leave out any of them.
 func boundSettings() []Setting {
-	return append(timeBoundSettings(), ratioBoundSettings()...)
+	return slices.Concat(timeBoundSettings(), ratioBoundSettings(), unexplainedBoundSettings())
+}
+
+// unexplainedBoundSettings are bounds of which the operators' pages don't say what they bound. They are kept as text, so
+// that no value of theirs keeps a process from starting, and have no effect; see Process.SettingsWithoutEffect.
+func unexplainedBoundSettings() []Setting {
+	return []Setting{
+		textSetting("bounds.again_s", "Not explained by the operators' pages, where it is 0. Kept, without effect.",
+			func(p *Process) *string { return &p.Bounds.Again }),
+	}
 }
 
 func timeBoundSettings() []Setting {
--- a/serving/settings/load_test.go
+++ b/serving/settings/load_test.go
@@ -64,6 +64,16 @@
 	assert.Equal(t, 250*time.Microsecond, process.Bounds.Drain)
 }
 
+// TestParse_UnexplainedBoundIsKept: whatever its value, the process starts, and says if it can't obey it.
+func TestParse_UnexplainedBoundIsKept(t *testing.T) {
+	for value, hasNoEffect := range map[string]bool{"": false, "0": false, "0.0": false, "3": true, "true": true} {
+		process, err := Parse([]byte(minimalSettings + "bounds.again_s=" + value + "\n"))
+		require.NoError(t, err, value)
+		assert.Equal(t, value, process.Bounds.Again)
+		assert.Equal(t, hasNoEffect, len(process.SettingsWithoutEffect()) == 1, "%q", value)
+	}
+}
+
 // TestParse_AnyInput: any input results in settings or a numbered error, and never a panic.
 func TestParse_AnyInput(t *testing.T) {
 	var keys []string
--- a/serving/settings/process.go
+++ b/serving/settings/process.go
@@ -81,6 +81,16 @@
 	Recovery         time.Duration `json:"Recovery"`
 	StreamForwarding time.Duration `json:"Pass"`
 	MaxTTL           time.Duration `json:"TTLMost"`
+	Again            string        `json:"Again"` // without effect, see SettingsWithoutEffect
+}
+
+// SettingsWithoutEffect returns the keys of settings that have a value other than zero and that this release can't obey,
+// since what they mean isn't known.
+func (p *Process) SettingsWithoutEffect() (keys []string) {
+	if value, err := strconv.ParseFloat(p.Bounds.Again, 64); p.Bounds.Again != "" && (err != nil || value != 0) {
+		keys = append(keys, "bounds.again_s")
+	}
+	return keys
 }
 
 // InternalAddress returns the address at which the other processes of the system call this machine.
