--- a/test/integration/serving/control_test.go
+++ b/test/integration/serving/control_test.go
@@ -240,6 +240,40 @@
 	}
 }
 
+// TestPowerLossWhileACoreIsAway: more is lost at once than the settings state, but no more disks. One core is down and
+// misses a change; then all processes lose power, and one of the two cores that have the change loses its disk. The
+// change is there once all are back, and at no time is an older configuration returned.
+func TestPowerLossWhileACoreIsAway(t *testing.T) {
+	c := startCluster(t)
+	for number := range c.cores {
+		away, wiped := c.cores[number], c.cores[(number+1)%len(c.cores)]
+		lost := c.replicaOf(wiped, wiped.address(portMembers))
+		away.kill()
+		name := fmt.Sprint("away", number)
+		c.configure(c.version+1, name)
+		for _, n := range c.nodes() {
+			if n != away {
+				n.kill()
+			}
+		}
+		wiped.wipe()
+		for _, n := range c.nodes() {
+			n.start()
+		}
+		for _, n := range c.cores {
+			c.assertReadsNewest(n)
+		}
+		c.eventually("the core without its disk votes under a new ID", func() bool {
+			now := c.replicaOf(away, wiped.address(portMembers))
+			return now != "" && now != lost
+		})
+		c.awaitReplicas()
+	}
+	for _, n := range c.agents {
+		c.awaitVersion(n)
+	}
+}
+
 const (
 	// missedChanges is more than a day's changes, and all of them are remembered.
 	missedChanges = 1000
--- a/test/integration/serving/partition_test.go
+++ b/test/integration/serving/partition_test.go
@@ -70,28 +70,34 @@
 // partitionSpan is how long a core is partitioned.
 const partitionSpan = 20 * time.Second
 
-// TestPartitionedCore partitions a core from all other machines, in both directions and in each one, while operators
-// and clients reach all. Two operators continue to send changes through all cores, and the partitioned core is read
+// TestPartitionedCore partitions a core from all other machines, in both directions and in each one, or from the other
+// cores alone, while operators and clients reach all. Two operators continue to send changes through all cores, and the partitioned core is read
 // continuously: it returns the newest configuration or no response.
 func TestPartitionedCore(t *testing.T) {
 	folder := buildPartitionable(t)
 	for _, direction := range []struct {
 		name                  string
 		cantSend, cantReceive bool
+		coresOnly             bool // all agents reach both sides
 	}{
 		{name: "both directions", cantSend: true, cantReceive: true},
 		{name: "outgoing", cantSend: true},
 		{name: "incoming", cantReceive: true},
+		{name: "the other cores only", cantSend: true, cantReceive: true, coresOnly: true},
 	} {
 		t.Run(direction.name, func(t *testing.T) {
 			t.Parallel()
 			c := startClusterWithPrograms(t, folder)
 			partitioned := c.cores[0]
+			others := c.othersThan(partitioned)
+			if direction.coresOnly {
+				others = c.cores[1:]
+			}
 			if direction.cantSend {
-				partitioned.setUnreachable(c.othersThan(partitioned)...)
+				partitioned.setUnreachable(others...)
 			}
 			if direction.cantReceive {
-				for _, other := range c.othersThan(partitioned) {
+				for _, other := range others {
 					other.setUnreachable(partitioned)
 				}
 			}
