--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint catalogue run toy system system-toy chaos-cluster chaos-serving random-register random-members
+.PHONY: build test lint catalogue run toy system system-toy chaos-cluster chaos-serving random-register random-members mutants
 
 # As deploy/balancer.toml does: the users' machines ask for a program that is linked against the C library.
 export CGO_ENABLED = 1
@@ -29,6 +29,10 @@
 random-members:
 	go test -count=1 -timeout 0 -v -run 'TestMembers_RecoverFromFaults$$' ./serving/member -rapid.checks=$(or $(N),1000) | grep -v 'draw'
 
+# Guards of the control plane taken out of the code, one at a time: a test has to find each.
+mutants:
+	go test -count=1 -v ./test/integration/mutants | grep -E '^ *---|found by|no test fails'
+
 lint:
 	test -z "$$(gofmt -l .)"
 	go vet ./...
--- a/serving/membership/doubt_test.go
+++ b/serving/membership/doubt_test.go
@@ -91,6 +91,25 @@
 	}
 }
 
+// TestDoubt_OfSingleWatcherWhileOthersAreDown: the only live watcher of a member may have lost just its own path to it.
+func TestDoubt_OfSingleWatcherWhileOthersAreDown(t *testing.T) {
+	for _, responds := range []bool{false, true} {
+		table, member, watchers := newUnwatchedMember(t)
+		for _, watcher := range watchers[1:] {
+			table.markDown(startTime, table.members[watcher.Name])
+		}
+		table.MergeSuspicion(suspicionBy(watchers[0], member))
+		table.Tick(startTime)
+		require.False(t, table.IsDown(member.Name), "not before it was probed")
+		require.Contains(t, namesOf(table.MembersToProbe(startTime, inOrder)), member.Name)
+		if responds {
+			table.RecordContact(startTime, member.Name)
+		}
+		table.Tick(startTime.Add(zoneProbePeriod))
+		assert.Equal(t, !responds, table.IsDown(member.Name), "responds: %t", responds)
+	}
+}
+
 // TestDoubt_EndsWithTheSuspicion refutes the suspicion about a doubtful member.
 func TestDoubt_EndsWithTheSuspicion(t *testing.T) {
 	table, one, other := newTableWithDoubtfulPair(t)
--- a/serving/membership/suspicion_test.go
+++ b/serving/membership/suspicion_test.go
@@ -130,6 +130,30 @@
 	assert.Equal(t, HeartbeatAck{}, table.RefutationNotice(member.Name))
 }
 
+// TestMergeMember_OnlyNewerVersions applies versions that arrive late, after a newer one.
+func TestMergeMember_OnlyNewerVersions(t *testing.T) {
+	known := memberIn("other", "a1", "a")
+	known.Incarnation, known.Sequence = 5, 5
+	for _, test := range []struct {
+		name                  string
+		incarnation, sequence uint64
+		merged                bool
+	}{
+		{"the same", 5, 5, false},
+		{"an older sequence", 5, 4, false},
+		{"a newer sequence", 5, 6, true},
+		{"an older incarnation with a newer sequence", 4, 9, false},
+		{"a newer incarnation with an older sequence", 6, 1, true},
+	} {
+		table := tableOf(memberIn("self", "a1", "a"), known)
+		version := known
+		version.Incarnation, version.Sequence = test.incarnation, test.sequence
+		assert.Equal(t, test.merged, table.MergeMember(startTime, version), test.name)
+		stored, _ := table.Member("other")
+		assert.Equal(t, test.merged, stored == version && stored != known, test.name)
+	}
+}
+
 func TestTick_SuspectsAndWithdraws(t *testing.T) {
 	watched := memberIn("other", "a1", "a")
 	table := tableOf(memberIn("self", "a1", "a"), watched)
--- a/serving/register/membership_test.go
+++ b/serving/register/membership_test.go
@@ -186,6 +186,55 @@
 	assert.NotZero(t, inDoubt)
 }
 
+// acceptOnlyAt has a machine's change accepted by that machine alone: it is isolated between the two rounds.
+func (s *simulation) acceptOnlyAt(t *testing.T, m *machine, update Update) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := m.running().node.Change(ctx, func(record state.Record) (state.Record, error) {
+		s.isolate(m, true)
+		return update(record)
+	})
+	require.True(t, errcode.RegisterInDoubt.Is(err), "%v", err)
+}
+
+// TestChange_FencesBeginThatAMinorityAccepted: the begin of an evacuation is accepted by its own machine alone. The end,
+// which finds nothing to change, excludes that it is finished later.
+func TestChange_FencesBeginThatAMinorityAccepted(t *testing.T) {
+	runSimulation(t, 3, func(t *testing.T, s *simulation) {
+		s.acceptOnlyAt(t, s.machines[0], SetEvacuation("z", true))
+		require.NoError(t, s.evacuate(s.machines[1], "z", false))
+		s.isolate(s.machines[0], false)
+		s.machines[1].crash() // so that the first machine is part of each majority
+		record, err := s.machines[2].running().node.Read(t.Context())
+		require.NoError(t, err)
+		assert.False(t, record.Evacuated("z"))
+		s.machines[1].start()
+		s.awaitStable(joinDeadline)
+	})
+}
+
+// TestRead_FinishesWhatAMinorityAccepted: whatever a read returns is committed, so that no later read through other
+// machines returns something older.
+func TestRead_FinishesWhatAMinorityAccepted(t *testing.T) {
+	runSimulation(t, 3, func(t *testing.T, s *simulation) {
+		s.acceptOnlyAt(t, s.machines[0], SetEvacuation("z", true))
+		s.isolate(s.machines[0], false)
+		s.machines[1].crash()
+		first, err := s.machines[2].running().node.Read(t.Context())
+		require.NoError(t, err)
+		require.True(t, first.Evacuated("z"), "a majority includes the first machine")
+		s.machines[1].start()
+		s.machines[0].crash()
+		later, err := s.machines[1].running().node.Read(t.Context())
+		require.NoError(t, err)
+		assert.True(t, later.Evacuated("z"))
+		assert.GreaterOrEqual(t, later.Revision, first.Revision)
+		s.machines[0].start()
+		s.awaitStable(joinDeadline)
+	})
+}
+
 // cancelledContext reports its end only by Err, as in a process that was suspended between two steps.
 type cancelledContext struct{ context.Context }
 
