--- a/serving/placement/pick.go
+++ b/serving/placement/pick.go
@@ -40,27 +40,17 @@
 	return p.reserve(&s), Decision{Kind: Picked}
 }
 
-// pickService returns the service of a request: the one of its earlier attempts or, for a split route, one chosen at
-// random by weight. It returns nil if the route has no weight.
+// pickService returns the service of a request: the one of its earlier attempts or, for a split route, one drawn by
+// weight. It returns nil if the route has no weight.
 func (p *Picker) pickService(request *Request) *service {
-	shares := request.Route.Services
-	if name := p.previousService(request); name != "" {
-		return p.ensureService(name)
+	name := p.previousService(request)
+	if name == "" {
+		name = p.drawService(request.Route)
 	}
-	total := 0
-	for _, share := range shares {
-		total += share.Weight
-	}
-	if total == 0 {
+	if name == "" {
 		return nil
 	}
-	left := int(p.random.Float64() * float64(total))
-	for _, share := range shares {
-		if left -= share.Weight; left < 0 {
-			return p.ensureService(share.Service)
-		}
-	}
-	return p.ensureService(shares[len(shares)-1].Service)
+	return p.ensureService(name)
 }
 
 // previousService returns the service of earlier attempts of the request, if the route still names it.
--- a/serving/placement/snapshot.go
+++ b/serving/placement/snapshot.go
@@ -42,6 +42,7 @@
 		return
 	}
 	p.routing = table
+	clear(p.splits)
 	for name, known := range p.services {
 		known.config = serviceConfig(table, name)
 	}
