--- a/serving/agent/run.go
+++ b/serving/agent/run.go
@@ -11,6 +11,7 @@
 	"rowanlink/serving/introspect"
 	"rowanlink/serving/loadreport"
 	"rowanlink/serving/member"
+	"rowanlink/serving/metrics"
 	"rowanlink/serving/process"
 	"rowanlink/serving/register"
 	"rowanlink/serving/rpc"
@@ -57,6 +58,7 @@
 	a := newAgent(options.Settings, options.Log, members, newEndpointTable(options.Settings))
 	go a.confirmRecord(runContext, register.QueryOverRPC(client))
 	introspect.Serve(innerMux, a.report)
+	innerMux.Handle(metrics.Path, metrics.Handler(introspect.MetricsWriter(a.report)))
 
 	forwarder := a.newObservationForwarder(client)
 	forward := func(observations []state.Observation) { forwarder.forward(runContext, observations) }
--- a/serving/attempt/attempt.go
+++ b/serving/attempt/attempt.go
@@ -26,6 +26,8 @@
 	// AtLimit: this process may open no further connection. Nothing was sent, and it is no sign of the endpoint's
 	// health.
 	AtLimit
+	// OutcomeCount is the number of outcomes.
+	OutcomeCount
 )
 
 // outcomeNames are the names in logs, by Outcome.
--- a/serving/core/run.go
+++ b/serving/core/run.go
@@ -14,6 +14,7 @@
 	"rowanlink/serving/event"
 	"rowanlink/serving/introspect"
 	"rowanlink/serving/member"
+	"rowanlink/serving/metrics"
 	"rowanlink/serving/operator"
 	"rowanlink/serving/process"
 	"rowanlink/serving/quorum"
@@ -87,6 +88,7 @@
 	c.startEndpoints(lifetime)
 	introspector := &introspector{members: c.members, node: c.node, endpoints: c.endpoints.Table()}
 	introspect.Serve(c.inner, introspector.report)
+	c.inner.Handle(metrics.Path, metrics.Handler(introspect.MetricsWriter(introspector.report)))
 	c.control = process.Serve(listeners.control, operator.NewServer(c.controlHandler()))
 	c.onClose(func() { _ = c.control.Close() }) // nothing is left to do with the connections
 	c.members.SetState(state.MemberReady)
--- a/serving/event/event.go
+++ b/serving/event/event.go
@@ -3,7 +3,11 @@
 // of a hundred numbers, in its own file.
 package event
 
-import "github.com/rs/zerolog"
+import (
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+)
 
 // Code is the number of a kind of event. Numbers are part of the log's format and never change.
 type Code uint16
@@ -20,8 +24,8 @@
 
 // define registers a kind. It panics if the number is in use already.
 func define(code Code, level zerolog.Level, message string) Kind {
-	if _, exists := kinds[code]; exists {
-		panic("event code defined twice")
+	if _, exists := kinds[code]; exists || code >= maxCodes {
+		panic("event code defined twice or too high")
 	}
 	kind := Kind{Code: code, Level: level, Message: message}
 	kinds[code] = kind
@@ -31,7 +35,17 @@
 // All returns all kinds by number. The caller must not change the map.
 func All() map[Code]Kind { return kinds }
 
+// counts has the number of events by code, for metrics.
+var counts [maxCodes]atomic.Uint64
+
+// maxCodes is above all codes.
+const maxCodes = 1000
+
+// Count returns how many events of a kind this process has begun to log, whether or not their level is written.
+func Count(code Code) uint64 { return counts[code].Load() }
+
 // Log starts a log line of the kind. The caller adds fields and writes it with Send.
 func (k Kind) Log(log *zerolog.Logger) *zerolog.Event {
+	counts[k.Code].Add(1)
 	return log.WithLevel(k.Level).Uint16("event", uint16(k.Code)).Str(zerolog.MessageFieldName, k.Message)
 }
--- a/serving/httpserver/finish.go
+++ b/serving/httpserver/finish.go
@@ -61,6 +61,7 @@
 
 // abortConnection terminates the client's connection, so that what was sent does not look complete. It doesn't return.
 func (f *forwarder) abortConnection(ctx context.Context) {
+	f.server.metrics.aborted.Inc()
 	if !f.httpRequest.ProtoAtLeast(1, 1) { // there the end of the connection is the end of the body
 		if client := connectionFromContext(ctx); client != nil {
 			client.resetOnClose()
--- a/serving/httpserver/forward.go
+++ b/serving/httpserver/forward.go
@@ -53,6 +53,7 @@
 		}
 		outcome, next := f.tryEndpoint(ctx, choice)
 		f.server.options.Picker.ReportOutcome(time.Now(), choice.Reservation, outcome)
+		f.server.metrics.attempts[outcome].Inc()
 		if next == nextDone {
 			return
 		}
@@ -63,6 +64,7 @@
 		if !f.waitForRetry(ctx, outcome) {
 			return
 		}
+		f.server.metrics.retries.Inc()
 	}
 }
 
--- a/serving/httpserver/handler.go
+++ b/serving/httpserver/handler.go
@@ -25,7 +25,7 @@
 	arrivedAt := time.Now()
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	w = &keepAliveWriter{ResponseWriter: w, server: s}
+	w = &responseWriter{ResponseWriter: w, server: s, arrivedAt: arrivedAt}
 
 	table := s.options.RoutingTable()
 	if table == nil {
@@ -59,17 +59,19 @@
 	f.forward(r.Context())
 }
 
-// keepAliveWriter adds to the header of each response how the client's connection continues.
-type keepAliveWriter struct {
+// responseWriter counts each response, and adds to its header how the client's connection continues.
+type responseWriter struct {
 	http.ResponseWriter
-	server *Server
+	server    *Server
+	arrivedAt time.Time
 }
 
 // Unwrap returns the underlying writer, for http.ResponseController.
-func (w *keepAliveWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // WriteHeader writes the status line and the headers.
-func (w *keepAliveWriter) WriteHeader(status int) {
+func (w *responseWriter) WriteHeader(status int) {
+	w.server.metrics.countResponse(status, w.arrivedAt)
 	header := w.Header()
 	if w.server.draining.Load() || w.server.listener.isNearLimit() {
 		header.Set("Connection", "close")
--- a/serving/httpserver/helpers_test.go
+++ b/serving/httpserver/helpers_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -117,6 +118,28 @@
 	return r
 }
 
+// patience stands for all time-outs of a patient proxy: no load of the test machine reaches it.
+const patience = "600000"
+
+// newPatientProxy is newTestProxy with a configuration whose time-outs are too long to matter, for tests that are not
+// about time.
+func newPatientProxy(t *testing.T, scripts ...func(*scriptedendpoint.Conn)) *testProxy {
+	r := newTestProxy(t, scripts...)
+	patient := regexp.MustCompile(`"(timeout|target|gap_aim)_ms":\d+`).
+		ReplaceAllString(testConfiguration, `"${1}_ms":`+patience)
+	table, err := routing.Parse([]byte(patient))
+	require.NoError(t, err)
+	r.table = table
+	return r
+}
+
+// patientRequest is request with all the time that a patient proxy has.
+func (r *testProxy) patientRequest(path, body string) *http.Request {
+	request := r.request(path, body)
+	request.Header.Set("X-Time-Left", patience)
+	return request
+}
+
 func (r *testProxy) start() {
 	clients, checks := listen(r.t), listen(r.t)
 	log := zerolog.Nop()
--- a/serving/httpserver/server.go
+++ b/serving/httpserver/server.go
@@ -21,6 +21,7 @@
 	"rowanlink/internal/ctxsleep"
 	"rowanlink/serving/attempt"
 	"rowanlink/serving/event"
+	"rowanlink/serving/metrics"
 	"rowanlink/serving/placement"
 	"rowanlink/serving/retry"
 	"rowanlink/serving/routing"
@@ -43,7 +44,7 @@
 // Options are the parameters of a server. All but ReadinessListener and the numbers are required.
 type Options struct {
 	ClientListener    net.Listener // for clients' requests
-	ReadinessListener net.Listener // for the platform's readiness checks; nil: none
+	ReadinessListener net.Listener // for the platform's readiness checks and for metrics; nil: none
 	RoutingTable      func() *routing.Table
 	Ready             func() bool // whether the process knows enough to serve
 	// ConnectionShare returns how many connections this process may have to one endpoint of a service.
@@ -78,6 +79,7 @@
 	readinessServer *http.Server
 	bodyMemory      bodyMemory
 
+	metrics   *serverMetrics
 	inFlight  atomic.Int64 // requests
 	draining  atomic.Bool  // graceful shutdown has begun
 	rejecting atomic.Bool  // new requests are rejected
@@ -94,6 +96,7 @@
 		options.MaxBodyMemory = defaultBodyMemory
 	}
 	s := &Server{options: options, bodyMemory: bodyMemory{limit: options.MaxBodyMemory}, sleep: ctxsleep.Sleep}
+	s.metrics = newServerMetrics(s.InFlight)
 	s.listener = newListener(options.ClientListener, options.MaxConnections, s.readTimeouts, s.logConnectionLimit)
 	s.clientServer = &http.Server{
 		Handler:                      s,
@@ -103,7 +106,10 @@
 		ConnContext:                  withConnection,
 		ErrorLog:                     stdlog.New(errorLogWriter{options.Log}, "", 0),
 	}
-	s.readinessServer = &http.Server{Handler: http.HandlerFunc(s.serveReadiness), ReadHeaderTimeout: defaultHeaderWait}
+	readiness := http.NewServeMux()
+	readiness.HandleFunc("/", s.serveReadiness)
+	readiness.Handle(metrics.Path, metrics.Handler(s.metrics.write))
+	s.readinessServer = &http.Server{Handler: readiness, ReadHeaderTimeout: defaultHeaderWait}
 	return s
 }
 
--- a/serving/httpserver/server_test.go
+++ b/serving/httpserver/server_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"rowanlink/serving/metrics"
 	"rowanlink/test/fake/scriptedendpoint"
 )
 
@@ -60,6 +61,31 @@
 	assert.Zero(t, memory.reserved.Load())
 }
 
+// TestMetrics_CountResponsesAndAttempts reads the figures where the platform asks whether the process is ready.
+func TestMetrics_CountResponsesAndAttempts(t *testing.T) {
+	r := newPatientProxy(t, respondWith(rejectedResponse), respondWith(okResponse))
+	require.Equal(t, 200, r.do(r.patientRequest("/fetch/x", "q")).status)
+	require.Equal(t, 404, r.do(r.patientRequest("/nowhere/x", "q")).status)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+r.readinessAddress+metrics.Path, nil)
+	require.NoError(t, err)
+	response, err := r.client.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	written, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	for _, line := range []string{
+		`rowan_proxy_responses_total{status="2xx"} 1`,
+		`rowan_proxy_responses_total{status="4xx"} 1`,
+		`rowan_proxy_attempts_total{outcome="refused"} 1`,
+		`rowan_proxy_attempts_total{outcome="succeeded"} 1`,
+		`rowan_proxy_retries_total 1`,
+		`rowan_proxy_requests_in_flight 0`,
+		`rowan_proxy_response_start_seconds_count 1`,
+	} {
+		assert.Contains(t, string(written), line+"\n")
+	}
+}
+
 func TestReadiness_FailsWhileDraining(t *testing.T) {
 	r := newTestProxy(t)
 	check := func() int {
--- a/test/integration/serving/planned_test.go
+++ b/test/integration/serving/planned_test.go
@@ -4,12 +4,15 @@
 	"bufio"
 	"context"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"rowanlink/serving/metrics"
 )
 
 // TestPlannedWork runs the planned operations of operators and the platform, and one fault that must
@@ -21,6 +24,7 @@
 		run  func(*cluster, *testing.T)
 	}{
 		{"traffic is served", serveTraffic},
+		{"each role publishes its figures", readMetrics},
 		{"settings are reloaded under load", reloadSettings},
 		{"a proxy is restarted gracefully under load", restartProxy},
 		{"a route is added and dropped", changeRoutes},
@@ -42,6 +46,24 @@
 	load.stopAndCheck()
 }
 
+func readMetrics(c *cluster, t *testing.T) {
+	for address, wanted := range map[string]string{
+		c.proxies[0].address(portReady):  `rowan_proxy_responses_total{status="2xx"} `,
+		c.agents[0].address(portMembers): `rowan_members{state="live"} 6`,
+		c.cores[0].address(portMembers):  `rowan_endpoints{state="accepting"} `,
+	} {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+metrics.Path, nil)
+		require.NoError(t, err)
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		written, err := io.ReadAll(response.Body)
+		_ = response.Body.Close() // it was read
+		require.NoError(t, err)
+		assert.Contains(t, string(written), "\n"+wanted)
+		assert.Contains(t, string(written), `rowan_events_total{event="110"} 1`)
+	}
+}
+
 func reloadSettings(c *cluster, _ *testing.T) {
 	load := c.startTraffic()
 	load.awaitServed(30)
