--- a/serving/httpserver/buffered_test.go
+++ b/serving/httpserver/buffered_test.go
@@ -112,6 +112,8 @@
 				} else {
 					assert.Len(t, r.picker.recordedOutcomes(), 1)
 					assert.Empty(t, a.header.Get("Retry-After"))
+					hasStamp := a.header.Get("X-Postmark") != ""
+					assert.Equal(t, want == 500, hasStamp, "only the endpoint's own answer, with its own status, has its stamp")
 				}
 			})
 		}
--- a/serving/httpserver/helpers_test.go
+++ b/serving/httpserver/helpers_test.go
@@ -233,6 +233,6 @@
 	okHead              = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Postmark: s1\r\n"
 	okResponse          = okHead + "Content-Length: 4\r\n\r\nbody"
 	rejectedResponse    = "HTTP/1.1 503 Full\r\nX-Not-Delivered: 1\r\nContent-Length: 0\r\n\r\n"
-	serverErrorResponse = "HTTP/1.1 500 Oops\r\nX-Attempt-Id: a1\r\nX-Own: 1\r\nContent-Length: 3\r\n\r\nerr"
+	serverErrorResponse = "HTTP/1.1 500 Oops\r\nX-Attempt-Id: a1\r\nX-Postmark: s1\r\nX-Own: 1\r\nContent-Length: 3\r\n\r\nerr"
 	misdirectedResponse = "HTTP/1.1 421 Other\r\nX-Endpoint-Id: i-z\r\nContent-Length: 0\r\n\r\n"
 )
--- a/test/fake/endpoint/endpoint.go
+++ b/test/fake/endpoint/endpoint.go
@@ -108,10 +108,17 @@
 	case <-ctx.Done():
 	}
 	e.endHeartbeats()
-	e.heartbeats.deregister(ctx)
+	_ = e.heartbeats.deregister(ctx) // the closing was acknowledged
 	return nil
 }
 
+// Deregister ends the heartbeats and deregisters, without having reported before that the endpoint is closing; it serves
+// on until Close. An error means that the deregistration was not acknowledged.
+func (e *Endpoint) Deregister(ctx context.Context) error {
+	e.endHeartbeats()
+	return e.heartbeats.deregister(ctx)
+}
+
 // Close terminates the endpoint like a crash: it reports nothing, and running requests are aborted.
 func (e *Endpoint) Close() {
 	e.closeOnce.Do(func() {
--- a/test/fake/endpoint/heartbeat.go
+++ b/test/fake/endpoint/heartbeat.go
@@ -114,8 +114,9 @@
 }
 
 // deregister reports, once, that the endpoint has ended.
-func (h *heartbeatSender) deregister(ctx context.Context) {
-	_, _ = h.callControl(ctx, deregisterPath, func(uint64) ([]byte, error) { return nil, nil })
+func (h *heartbeatSender) deregister(ctx context.Context) error {
+	_, err := h.callControl(ctx, deregisterPath, func(uint64) ([]byte, error) { return nil, nil })
+	return err
 }
 
 // callControl calls the preferred address, then each control address in turn, until one responds with 2xx. encode
--- a/test/integration/serving/planned_test.go
+++ b/test/integration/serving/planned_test.go
@@ -30,6 +30,7 @@
 		{"a route is added and dropped", changeRoutes},
 		{"an agent is killed and its proxy continues", loseAgent},
 		{"an endpoint drains", drainEndpoint},
+		{"an endpoint deregisters without having closed", deregisterEndpoint},
 		{"a disconnected client ends the work", disconnectClient},
 	} {
 		t.Run(scenario.name, func(t *testing.T) { scenario.run(c, t) })
@@ -178,6 +179,25 @@
 	return true
 }
 
+// deregisterEndpoint has an endpoint deregister without having reported that it is closing. It serves what it has and a
+// little longer; nothing is lost, and nothing new reaches it after the drain time.
+func deregisterEndpoint(c *cluster, t *testing.T) {
+	load := c.startTraffic()
+	load.awaitServed(60)
+	leaving := c.writers[0]
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	require.NoError(t, leaving.Deregister(ctx))
+	late := time.Now().Add(drainTime)
+	c.eventually("the drain is over", func() bool { return time.Now().After(late) })
+	load.awaitServed(60)
+	load.stopAndCheck()
+	assert.Empty(t, c.ledger.runsAfter(late, leaving.ID), "sent to an endpoint that has left")
+	leaving.Close()
+	c.writers[0] = c.startEndpoint(writerOptions(), firstWriterNumber, locations[0])
+	c.eventually("its successor is known everywhere", func() bool { return c.knowEndpoint(c.writers[0].ID) })
+}
+
 func disconnectClient(c *cluster, t *testing.T) {
 	by := newHTTPClient()
 	defer by.CloseIdleConnections()
