--- a/cluster/fsm/machine.go
+++ b/cluster/fsm/machine.go
@@ -7,10 +7,9 @@
 	"fmt"
 	"maps"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"rowanlink/cluster"
 	"rowanlink/cluster/lease"
+	"rowanlink/internal/strictcbor"
 )
 
 // Machine is the replicated state. It is not safe for concurrent use: the raft node locks it.
@@ -21,17 +20,8 @@
 	initial    map[cluster.ComponentID][]byte // each component's first state, for a snapshot that lacks it
 }
 
-// The encoding is deterministic, so that all raft nodes produce the same bytes, and decoding is strict, so that they
-// reject the same ones. The options are constant and valid.
-var (
-	encMode, _ = cbor.CoreDetEncOptions().EncMode()
-	decMode, _ = cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode()
-)
+// codec encodes and decodes entries and snapshots.
+var codec = strictcbor.New(strictcbor.Options{RejectUnknownFields: true})
 
 // New joins the lease table, as cluster.LeaseComponent, with other components.
 func New(leases *lease.Table, others map[cluster.ComponentID]cluster.Component) *Machine {
@@ -52,7 +42,7 @@
 
 // EncodeCommand returns a command as a log entry.
 func EncodeCommand(c cluster.Command) []byte {
-	b, err := encMode.Marshal(c)
+	b, err := codec.Marshal(c)
 	if err != nil {
 		panic(err) // no field of a command can fail
 	}
@@ -64,7 +54,7 @@
 // can't be decoded or its component is unknown; else the component's own.
 func (m *Machine) Apply(index uint64, entry []byte) ([]byte, error) {
 	var c cluster.Command
-	if err := decMode.Unmarshal(entry, &c); err != nil {
+	if err := codec.Unmarshal(entry, &c); err != nil {
 		return nil, fmt.Errorf("log entry %d: %w: %w", index, ErrUnreadable, err)
 	}
 	component := m.components[c.Component]
--- a/cluster/fsm/machine_test.go
+++ b/cluster/fsm/machine_test.go
@@ -144,7 +144,7 @@
 			{Component: stubID, Version: 9, Snapshot: []byte("half")},
 		}},
 	} {
-		raw, err := encMode.Marshal(bad)
+		raw, err := codec.Marshal(bad)
 		require.NoError(t, err)
 		assert.Error(t, m.Restore(raw), name)
 	}
--- a/cluster/fsm/snapshot.go
+++ b/cluster/fsm/snapshot.go
@@ -37,7 +37,7 @@
 			Snapshot:  snapshot,
 		})
 	}
-	return encMode.Marshal(image)
+	return codec.Marshal(image)
 }
 
 // Restore replaces the machine's state by a snapshot; components that it lacks get their initial state. A
@@ -45,7 +45,7 @@
 // components that were restored before it are rolled back.
 func (m *Machine) Restore(snapshot []byte) error {
 	var image machineImage
-	if err := decMode.Unmarshal(snapshot, &image); err != nil {
+	if err := codec.Unmarshal(snapshot, &image); err != nil {
 		return fmt.Errorf("snapshot: %w: %w", ErrUnreadable, err)
 	}
 	if image.Format != snapshotFormat {
--- a/cluster/lease/commands.go
+++ b/cluster/lease/commands.go
@@ -36,5 +36,5 @@
 }
 
 func command(op Operation) cluster.Command {
-	return cluster.Command{Component: cluster.LeaseComponent, Body: encode(op)}
+	return cluster.Command{Component: cluster.LeaseComponent, Body: codec.MustMarshal(op)}
 }
--- a/cluster/lease/fence.go
+++ b/cluster/lease/fence.go
@@ -35,13 +35,15 @@
 }
 
 // Encode returns the form that DecodeFence reads.
-func (f *Fence) Encode() []byte { return encode(fenceImage{Format: fenceFormat, Highest: f.highest}) }
+func (f *Fence) Encode() []byte {
+	return codec.MustMarshal(fenceImage{Format: fenceFormat, Highest: f.highest})
+}
 
 // DecodeFence restores the fence of an earlier process. It returns ErrUnreadable if the data is damaged or of a
 // newer format; nothing may be admitted then, and the caller must not begin with an empty fence.
 func DecodeFence(b []byte) (*Fence, error) {
 	var image fenceImage
-	if err := decMode.Unmarshal(b, &image); err != nil {
+	if err := codec.Unmarshal(b, &image); err != nil {
 		return nil, fmt.Errorf("fence: %w: %w", ErrUnreadable, err)
 	}
 	if image.Format != fenceFormat {
--- a/cluster/lease/holder_test.go
+++ b/cluster/lease/holder_test.go
@@ -121,7 +121,7 @@
 	assert.ErrorIs(t, err, cluster.ErrFenced)
 	newerFormat := fenceImage{Format: fenceFormat + 1}
 	withoutName := fenceImage{Format: fenceFormat, Highest: map[cluster.Resource]cluster.Epoch{"": 1}}
-	for _, malformed := range [][]byte{nil, {0xa0}, encode(newerFormat), encode(withoutName)} {
+	for _, malformed := range [][]byte{nil, {0xa0}, codec.MustMarshal(newerFormat), codec.MustMarshal(withoutName)} {
 		_, err = DecodeFence(malformed)
 		assert.ErrorIs(t, err, ErrUnreadable)
 	}
--- a/cluster/lease/operation.go
+++ b/cluster/lease/operation.go
@@ -4,9 +4,8 @@
 	"errors"
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"rowanlink/cluster"
+	"rowanlink/internal/strictcbor"
 )
 
 // Incarnation identifies one process of a member. Each process draws its own at random when it starts and never
@@ -80,38 +79,19 @@
 // maxArrayElements bounds what is allocated for the arrays of a damaged or forged entry.
 const maxArrayElements = 1 << 20
 
-// The encoding is deterministic, so that all raft nodes produce the same bytes, and decoding is strict, so that they
-// reject the same ones. The options are constant and valid.
-var (
-	encMode, _ = cbor.CoreDetEncOptions().EncMode()
-	decMode, _ = cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		MaxArrayElements:  maxArrayElements,
-	}.DecMode()
-)
-
-// encode panics on an error, which only a type of this package that can't be encoded would cause.
-func encode(v any) []byte {
-	b, err := encMode.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return b
-}
+// codec encodes and decodes operations, results and snapshots.
+var codec = strictcbor.New(strictcbor.Options{RejectUnknownFields: true, MaxArrayElements: maxArrayElements})
 
 // DecodeResult decodes what Table.Apply returned, else returns ErrUnreadable.
 func DecodeResult(b []byte) (r Result, err error) {
-	if err = decMode.Unmarshal(b, &r); err != nil {
+	if err = codec.Unmarshal(b, &r); err != nil {
 		return Result{}, fmt.Errorf("result of a lease operation: %w: %w", ErrUnreadable, err)
 	}
 	return r, nil
 }
 
 func decodeOperation(body []byte) (op Operation, err error) {
-	if err = decMode.Unmarshal(body, &op); err != nil {
+	if err = codec.Unmarshal(body, &op); err != nil {
 		return Operation{}, fmt.Errorf("lease operation: %w: %w", ErrUnreadable, err)
 	}
 	if err := op.validate(); err != nil {
--- a/cluster/lease/snapshot.go
+++ b/cluster/lease/snapshot.go
@@ -50,14 +50,14 @@
 			Session:  state.session,
 		})
 	}
-	return encMode.Marshal(image)
+	return codec.Marshal(image)
 }
 
 // Restore replaces the table by a snapshot. With ErrUnreadable, for one that can't be decoded, has a newer
 // format or contradicts itself, the table is as it was.
 func (t *Table) Restore(snapshot []byte) error {
 	var image tableImage
-	if err := decMode.Unmarshal(snapshot, &image); err != nil {
+	if err := codec.Unmarshal(snapshot, &image); err != nil {
 		return fmt.Errorf("snapshot of leases: %w: %w", ErrUnreadable, err)
 	}
 	if image.Format != tableFormat {
--- a/cluster/lease/table.go
+++ b/cluster/lease/table.go
@@ -84,7 +84,7 @@
 		t.release(resource)
 		delete(t.sessions[op.Session].resources, resource)
 	}
-	return encode(result), nil
+	return codec.MustMarshal(result), nil
 }
 
 // openSession leaves sessions of earlier incarnations of the member to expire: the old process may only be
--- a/cluster/lease/table_test.go
+++ b/cluster/lease/table_test.go
@@ -171,7 +171,7 @@
 		"a duplicate lease":                {Format: tableFormat, LastID: 9, Leases: []leaseImage{{"a", 1, 0}, {"a", 2, 0}}},
 		"a leader epoch above the last id": {Format: tableFormat, LastID: 9, LeaderEpoch: 10},
 	} {
-		assert.ErrorIs(t, table.Restore(encode(image)), ErrUnreadable, name)
+		assert.ErrorIs(t, table.Restore(codec.MustMarshal(image)), ErrUnreadable, name)
 	}
 	assert.ErrorIs(t, table.Restore([]byte("half")), ErrUnreadable)
 	after, _ := table.Snapshot()
--- a/cluster/rebalance/progress.go
+++ b/cluster/rebalance/progress.go
@@ -6,24 +6,14 @@
 	"fmt"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"rowanlink/cluster"
 	"rowanlink/cluster/rebalance/planfile"
 	"rowanlink/cluster/shardmap"
+	"rowanlink/internal/strictcbor"
 )
 
-// The encoding is deterministic, so that all raft nodes write the same bytes, and decoding is strict, so that no two
-// versions of the program read one entry differently.
-var (
-	encoding, _ = cbor.CoreDetEncOptions().EncMode()
-	decoding, _ = cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode()
-)
+// codec encodes and decodes commands and the state of the running plan.
+var codec = strictcbor.New(strictcbor.Options{RejectUnknownFields: true})
 
 // StepState is the progress of a step. The values are stored in the raft log.
 type StepState uint8
@@ -72,7 +62,7 @@
 type Coordinator cluster.Epoch
 
 func (e Coordinator) newCommand(c command) cluster.Command {
-	body, err := encoding.Marshal(c)
+	body, err := codec.Marshal(c)
 	if err != nil {
 		panic(err) // nothing in a command can fail to encode
 	}
@@ -111,7 +101,7 @@
 // about another plan than the running one, or the step has advanced; cluster.ErrNotFound if there is no such step.
 func (p *Progress) Apply(_ uint64, body []byte) ([]byte, error) {
 	var c command
-	if err := decoding.Unmarshal(body, &c); err != nil {
+	if err := codec.Unmarshal(body, &c); err != nil {
 		return nil, fmt.Errorf("plan: %w", err)
 	}
 	if c.Operation == operationAdopt {
@@ -200,12 +190,12 @@
 }
 
 // Snapshot returns the progress in its encoded form.
-func (p *Progress) Snapshot() ([]byte, error) { return encoding.Marshal(p) }
+func (p *Progress) Snapshot() ([]byte, error) { return codec.Marshal(p) }
 
 // Restore replaces the progress by a snapshot. It rejects an invalid one and then changes nothing.
 func (p *Progress) Restore(snapshot []byte) error {
 	var next Progress
-	if err := decoding.Unmarshal(snapshot, &next); err != nil {
+	if err := codec.Unmarshal(snapshot, &next); err != nil {
 		return fmt.Errorf("plan: %w", err)
 	}
 	if err := next.validate(); err != nil {
--- a/cluster/shardmap/apply.go
+++ b/cluster/shardmap/apply.go
@@ -11,7 +11,7 @@
 // cluster.ErrAlreadyHeld when a lease is held by another member than the command requires.
 func (m *Map) Apply(index uint64, body []byte) ([]byte, error) {
 	var c command
-	if err := decMode.Unmarshal(body, &c); err != nil {
+	if err := codec.Unmarshal(body, &c); err != nil {
 		return nil, fmt.Errorf("shardmap: decode command: %w", err)
 	}
 	result, err := m.apply(cluster.Version(index), c)
@@ -19,7 +19,7 @@
 		return nil, err
 	}
 	m.Version = cluster.Version(index)
-	return encMode.Marshal(result)
+	return codec.Marshal(result)
 }
 
 func (m *Map) apply(now cluster.Version, c command) (result any, err error) {
--- a/cluster/shardmap/commands.go
+++ b/cluster/shardmap/commands.go
@@ -1,22 +1,12 @@
 package shardmap
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
 	"rowanlink/cluster"
+	"rowanlink/internal/strictcbor"
 )
 
-// The encoding is canonical, so that a value has the same bytes on each raft node. The decoder rejects whatever two
-// versions of the program could read differently.
-var (
-	encMode, _ = cbor.CoreDetEncOptions().EncMode()
-	decMode, _ = cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode()
-)
+// codec encodes and decodes commands, results and maps.
+var codec = strictcbor.New(strictcbor.Options{RejectUnknownFields: true})
 
 // operation is the kind of a command. The numbers are in the raft log.
 type operation uint8
@@ -71,7 +61,7 @@
 // encode returns the command as a log entry that is fenced by the epoch of a lease on a resource. With an empty resource
 // it is not fenced.
 func (c command) encode(resource cluster.Resource, epoch cluster.Epoch) cluster.Command {
-	body, err := encMode.Marshal(c)
+	body, err := codec.Marshal(c)
 	if err != nil {
 		panic(err) // a command has no field that can't be encoded
 	}
--- a/cluster/shardmap/custody_table_test.go
+++ b/cluster/shardmap/custody_table_test.go
@@ -112,12 +112,12 @@
 func requireStableEncoding[T any](t *testing.T, raw []byte) (T, bool) {
 	t.Helper()
 	var value, again T
-	if decMode.Unmarshal(raw, &value) != nil {
+	if codec.Unmarshal(raw, &value) != nil {
 		return value, false
 	}
-	encoded, err := encMode.Marshal(value)
+	encoded, err := codec.Marshal(value)
 	require.NoError(t, err)
-	require.NoError(t, decMode.Unmarshal(encoded, &again))
+	require.NoError(t, codec.Unmarshal(encoded, &again))
 	assert.Equal(t, value, again)
 	return value, true
 }
--- a/cluster/shardmap/snapshot.go
+++ b/cluster/shardmap/snapshot.go
@@ -14,13 +14,13 @@
 var errOverlappingGroups = errors.New("shardmap: a destination is placed twice")
 
 // Snapshot encodes the map as CBOR. A member's copy is restored from the same bytes.
-func (m *Map) Snapshot() ([]byte, error) { return encMode.Marshal(m) }
+func (m *Map) Snapshot() ([]byte, error) { return codec.Marshal(m) }
 
 // Restore replaces the map by a snapshot. A snapshot whose ranges do not cover each key hash once, or that is
 // inconsistent otherwise, is rejected and leaves the map as it was.
 func (m *Map) Restore(snapshot []byte) error {
 	next := Map{holders: m.holders}
-	if err := decMode.Unmarshal(snapshot, &next); err != nil {
+	if err := codec.Unmarshal(snapshot, &next); err != nil {
 		return fmt.Errorf("shardmap: decode snapshot: %w", err)
 	}
 	if err := next.validate(); err != nil {
--- a/cluster/stream/codec.go
+++ b/cluster/stream/codec.go
@@ -5,8 +5,7 @@
 	"fmt"
 	"math"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"rowanlink/internal/strictcbor"
 	"rowanlink/webhook/api"
 )
 
@@ -20,40 +19,20 @@
 	maxMapPairs     = 64
 )
 
-var encMode, decMode = cborModes()
+var codec = strictcbor.New(strictcbor.Options{
+	MaxNestedLevels:  maxNestedLevels,
+	MaxArrayElements: maxDeliveries,
+	MaxMapPairs:      maxMapPairs,
+})
 
-func cborModes() (cbor.EncMode, cbor.DecMode) {
-	enc, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	dec, err := cbor.DecOptions{
-		MaxNestedLevels:  maxNestedLevels,
-		MaxArrayElements: maxDeliveries,
-		MaxMapPairs:      maxMapPairs,
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return enc, dec
-}
-
-// Encode returns the deterministic encoding of a Frame, OpenRequest, Ack, Result or list of results.
-func Encode(v any) []byte {
-	raw, err := encMode.Marshal(v)
-	if err != nil {
-		panic(err) // all types of this package can be encoded
-	}
-	return raw
-}
+// Encode returns the deterministic encoding of a Frame, OpenRequest, Ack, Result or list of results. All of these can be
+// encoded.
+func Encode(v any) []byte { return codec.MustMarshal(v) }
 
 // Decode decodes one message with nothing after it, else returns ErrMalformed. The content is checked by whoever
 // processes it.
 func Decode(raw []byte, v any) error {
-	if err := decMode.Unmarshal(raw, v); err != nil {
+	if err := codec.Unmarshal(raw, v); err != nil {
 		return fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	return nil
