--- a/cluster/member/fetch.go
+++ b/cluster/member/fetch.go
@@ -43,15 +43,15 @@
 		cluster.ShardMapComponent:  0,
 		cluster.RebalanceComponent: 0,
 	}}
-	status, raw, err := client.Call(node, transport.StatePath, transport.Encode(request), fetchTimeout.Duration())
+	response, err := client.Call(node, transport.StatePath, transport.Encode(request), fetchTimeout.Duration())
 	if err != nil {
-		return answer, status, err
+		return answer, response.Status, err
 	}
-	if status != fasthttp.StatusOK {
-		return answer, status, errNoShardMap
+	if response.Status != fasthttp.StatusOK {
+		return answer, response.Status, errNoShardMap
 	}
-	err = transport.Decode(raw, &answer)
-	return answer, status, err
+	err = response.Decode(&answer)
+	return answer, response.Status, err
 }
 
 func restoreState(answer transport.StateResponse, shardMap *shardmap.Map, progress *rebalance.Progress) error {
--- a/cluster/member/health/collector.go
+++ b/cluster/member/health/collector.go
@@ -1,13 +1,10 @@
 package health
 
 import (
-	"fmt"
 	"log/slog"
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"rowanlink/cluster"
 	"rowanlink/cluster/rebalance"
 	"rowanlink/cluster/transport"
@@ -85,14 +82,11 @@
 }
 
 func (c *Collector) poll(member cluster.MemberID, body []byte) (report rebalance.Report, err error) {
-	status, raw, err := c.Client.Call(member, Path, body, c.LeaseTTL/pollsPerTTL)
+	response, err := c.Client.Call(member, Path, body, c.LeaseTTL/pollsPerTTL)
 	if err != nil {
 		return report, err
 	}
-	if status != fasthttp.StatusOK {
-		return report, fmt.Errorf("status %d", status)
-	}
-	err = transport.Decode(raw, &report)
+	err = response.Decode(&report)
 	return report, err
 }
 
--- a/cluster/member/peer/client.go
+++ b/cluster/member/peer/client.go
@@ -59,28 +59,25 @@
 
 func (c *Client) exchange(to cluster.MemberID, path string, t Transfer, within api.Micros) (reply TransferReply,
 	err error) {
-	status, raw, err := c.transport.Call(to, path, transport.Encode(t), within.Duration())
+	response, err := c.transport.Call(to, path, transport.Encode(t), within.Duration())
 	if err != nil {
 		return reply, err
 	}
-	if status != fasthttp.StatusOK {
-		return reply, fmt.Errorf("%w: status %d", transport.ErrOutcomeUnknown, status)
+	if response.Status != fasthttp.StatusOK {
+		return reply, fmt.Errorf("%w: status %d", transport.ErrOutcomeUnknown, response.Status)
 	}
-	err = transport.Decode(raw, &reply)
+	err = response.Decode(&reply)
 	return reply, err
 }
 
 // QueryCustody queries a member for the custody of webhooks. Without an error there is one reply for each query.
 func (c *Client) QueryCustody(at cluster.MemberID, queries []CustodyQuery, within api.Micros) (
 	replies []shardmap.CustodyReply, err error) {
-	status, raw, err := c.transport.Call(at, QueryPath, transport.Encode(queries), within.Duration())
+	response, err := c.transport.Call(at, QueryPath, transport.Encode(queries), within.Duration())
 	if err != nil {
 		return nil, err
 	}
-	if status != fasthttp.StatusOK {
-		return nil, fmt.Errorf("status %d", status)
-	}
-	err = transport.Decode(raw, &replies)
+	err = response.Decode(&replies)
 	return replies, err
 }
 
--- a/cluster/member/session/leaderclient.go
+++ b/cluster/member/session/leaderclient.go
@@ -61,24 +61,24 @@
 	deadline, cause := time.Now().Add(within), errNoLeader
 	for _, node := range c.attemptOrder() {
 		for hops := 0; node != "" && hops < maxHops; hops++ {
-			status, answer, err := c.client.Call(node, path, body, time.Until(deadline))
+			response, err := c.client.Call(node, path, body, time.Until(deadline))
 			next := cluster.MemberID("")
 			switch {
-			case errors.Is(err, transport.ErrOutcomeUnknown), err == nil && status == fasthttp.StatusGatewayTimeout:
+			case errors.Is(err, transport.ErrOutcomeUnknown), err == nil && response.Status == fasthttp.StatusGatewayTimeout:
 				c.markUnresponsive(node)
 				if err == nil {
 					err = errUnknownOutcome
 				}
-				return nil, fmt.Errorf("%w: raft node %s: status %d: %w", transport.ErrOutcomeUnknown, node, status, err)
+				return nil, fmt.Errorf("%w: raft node %s: status %d: %w", transport.ErrOutcomeUnknown, node, response.Status, err)
 			case err != nil:
 				cause = err
-			case status == fasthttp.StatusOK:
+			case response.Status == fasthttp.StatusOK:
 				c.setLeader(node)
-				return answer, nil
-			case status == fasthttp.StatusMisdirectedRequest:
-				next = namedLeader(answer, node)
+				return response.Body, nil
+			case response.Status == fasthttp.StatusMisdirectedRequest:
+				next = namedLeader(response.Body, node)
 			default:
-				cause = fmt.Errorf("raft node %s: status %d: %.100s", node, status, answer)
+				cause = fmt.Errorf("raft node %s: status %d: %.100s", node, response.Status, response.Body)
 			}
 			node = next
 		}
--- a/cluster/member/session/session_test.go
+++ b/cluster/member/session/session_test.go
@@ -59,12 +59,12 @@
 	defer client.Close()
 	renew := func(session cluster.SessionID) (status int, answer transport.SessionResponse) {
 		request := transport.SessionRequest{Member: "a", Session: session, Incarnation: 77}
-		status, raw, err := client.Call(leader, transport.SessionPath, transport.Encode(request), longTimeout)
+		response, err := client.Call(leader, transport.SessionPath, transport.Encode(request), longTimeout)
 		require.NoError(t, err)
-		if status == fasthttp.StatusOK {
-			require.NoError(t, transport.Decode(raw, &answer))
+		if response.Status == fasthttp.StatusOK {
+			require.NoError(t, response.Decode(&answer))
 		}
-		return status, answer
+		return response.Status, answer
 	}
 	_, opened := renew(0)
 	status, _ := renew(opened.Session)
--- a/cluster/member/session/watch.go
+++ b/cluster/member/session/watch.go
@@ -5,8 +5,6 @@
 	"maps"
 	"slices"
 
-	"github.com/valyala/fasthttp"
-
 	"rowanlink/cluster"
 	"rowanlink/cluster/fsm"
 	"rowanlink/cluster/timing"
@@ -65,12 +63,12 @@
 func (s *Session) pollState(node cluster.MemberID, request transport.StateRequest) (answer transport.StateResponse,
 	answered bool) {
 	within := (timing.LongPollTimeout(s.LeaseTTL) + timing.RequestTimeout(s.LeaseTTL)).Duration()
-	status, raw, err := s.Leader.client.Call(node, transport.StatePath, transport.Encode(request), within)
-	if err == nil && status == fasthttp.StatusOK {
-		err = transport.Decode(raw, &answer)
+	response, err := s.Leader.client.Call(node, transport.StatePath, transport.Encode(request), within)
+	if err == nil {
+		err = response.Decode(&answer)
 	}
-	if err != nil || status != fasthttp.StatusOK {
-		slog.Debug("poll of the state failed", "raft_node", node, "status", status, "error", err)
+	if err != nil {
+		slog.Debug("poll of the state failed", "raft_node", node, "error", err)
 		return answer, false
 	}
 	return answer, true
--- a/cluster/raftnode/bootstrap.go
+++ b/cluster/raftnode/bootstrap.go
@@ -63,11 +63,11 @@
 func (n *Node) identify(member cluster.MemberID) (transport.NodeIdentity, error) {
 	var identity transport.NodeIdentity
 	request := transport.Encode(n.identity())
-	_, raw, err := n.client.Call(member, transport.IdentifyPath, request, n.requestTimeout())
+	response, err := n.client.Call(member, transport.IdentifyPath, request, n.requestTimeout())
 	if err != nil {
 		return identity, err
 	}
-	return identity, transport.Decode(raw, &identity)
+	return identity, response.Decode(&identity)
 }
 
 func voter(id raft.ServerID) raft.Server {
@@ -100,8 +100,8 @@
 		if member == n.self {
 			continue
 		}
-		status, _, err := n.client.Call(member, transport.JoinPath, request, n.requestTimeout())
-		if err == nil && status == fasthttp.StatusOK {
+		response, err := n.client.Call(member, transport.JoinPath, request, n.requestTimeout())
+		if err == nil && response.Status == fasthttp.StatusOK {
 			return
 		}
 	}
--- a/cluster/relay/message.go
+++ b/cluster/relay/message.go
@@ -89,7 +89,7 @@
 // Messenger sends a request to a member and returns the status and body of the response. It is implemented by
 // *transport.Client.
 type Messenger interface {
-	Call(to cluster.MemberID, path string, body []byte, timeout time.Duration) (status int, response []byte, err error)
+	Call(to cluster.MemberID, path string, body []byte, timeout time.Duration) (transport.Response, error)
 }
 
 var _ Messenger = (*transport.Client)(nil)
--- a/cluster/relay/result_reporter.go
+++ b/cluster/relay/result_reporter.go
@@ -4,8 +4,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"rowanlink/cluster"
 	"rowanlink/cluster/stream"
 	"rowanlink/cluster/transport"
@@ -82,11 +80,13 @@
 		return false, false
 	}
 	message.DestinationStates = r.store.DestinationStates(destinationsOf(message.Results))
-	status, response, err := r.messenger.Call(origin, ResultsPath, transport.Encode(message), r.timing.RequestTimeout)
+	response, err := r.messenger.Call(origin, ResultsPath, transport.Encode(message), r.timing.RequestTimeout)
 	var recorded []stream.Delivery
-	if err != nil || status != fasthttp.StatusOK || transport.Decode(response, &recorded) != nil || len(recorded) == 0 {
-		slog.Debug("relay: results not acknowledged",
-			"origin", origin, "count", len(message.Results), "status", status, "error", err)
+	if err == nil {
+		err = response.Decode(&recorded)
+	}
+	if err != nil || len(recorded) == 0 {
+		slog.Debug("relay: results not acknowledged", "origin", origin, "count", len(message.Results), "error", err)
 		return true, false
 	}
 	r.mu.Lock()
--- a/cluster/relay/sender_loop.go
+++ b/cluster/relay/sender_loop.go
@@ -125,15 +125,15 @@
 
 // send sends a request while the stream is open. If the relay's ack is valid, it calls onAck with the lock held.
 func (s *Sender) send(path string, body []byte, onAck func(stream.Ack)) time.Duration {
-	status, response, err := s.messenger.Call(s.relay, path, body, s.timing.RequestTimeout)
+	response, err := s.messenger.Call(s.relay, path, body, s.timing.RequestTimeout)
 	var a stream.Ack
 	switch {
-	case err != nil || status == statusNotStored:
+	case err != nil || response.Status == statusNotStored:
 		s.update(s.state.Retransmit)
 		s.checkReachable()
 		return s.timing.PollInterval
-	case status != fasthttp.StatusOK || transport.Decode(response, &a) != nil:
-		slog.Warn("stream: has to be reopened", "relay", s.relay, "status", status)
+	case response.Decode(&a) != nil:
+		slog.Warn("stream: has to be reopened", "relay", s.relay, "status", response.Status)
 		s.markUnreachable()
 		return 0
 	}
@@ -177,22 +177,22 @@
 		DestinationStates: s.store.DestinationStates(),
 		SentAt:            s.now(),
 	}
-	status, response, err := s.messenger.Call(s.relay, OpenPath, transport.Encode(message), s.timing.RequestTimeout)
+	response, err := s.messenger.Call(s.relay, OpenPath, transport.Encode(message), s.timing.RequestTimeout)
 	var a stream.Ack
-	isAnswered := err == nil && (status == fasthttp.StatusOK || status == statusFenced)
-	if !isAnswered || transport.Decode(response, &a) != nil {
+	isAnswered := err == nil && (response.Status == fasthttp.StatusOK || response.Status == statusFenced)
+	if !isAnswered || transport.Decode(response.Body, &a) != nil {
 		s.checkReachable()
 		return s.timing.PollInterval
 	}
 	s.lastContact = time.Now()
 	s.update(func() {
-		requeued, lost := s.state.HandleOpened(request, a, status == statusFenced, s.now())
+		requeued, lost := s.state.HandleOpened(request, a, response.Status == statusFenced, s.now())
 		s.store.Requeue(requeued)
 		for _, d := range s.store.ResolveInDoubt(lost, true) {
 			s.state.Complete(d)
 		}
 	})
-	s.opened = status == fasthttp.StatusOK
+	s.opened = response.Status == fasthttp.StatusOK
 	s.fenced.Store(!s.opened && s.holdsLease())
 	slog.Info("stream opened",
 		"relay", s.relay, "generation", a.Generation, "fenced", !s.opened, "pending", len(a.Pending))
--- a/cluster/relay/testsite_test.go
+++ b/cluster/relay/testsite_test.go
@@ -45,7 +45,7 @@
 
 func (f *faultyClient) Call(
 	to cluster.MemberID, path string, body []byte, timeout time.Duration,
-) (status int, response []byte, err error) {
+) (response transport.Response, err error) {
 	f.mu.Lock()
 	fault, partitioned := f.random.IntN(3*f.faultEvery), f.partitioned
 	if path == FramePath && f.lostFrames > 0 {
@@ -54,16 +54,16 @@
 	}
 	f.mu.Unlock()
 	if partitioned || fault == loseRequest {
-		return 0, nil, transport.ErrOutcomeUnknown
+		return transport.Response{}, transport.ErrOutcomeUnknown
 	}
 	if fault == duplicateRequest {
-		_, _, _ = f.Client.Call(to, path, body, timeout) // its response is lost
+		_, _ = f.Client.Call(to, path, body, timeout) // its response is lost
 	}
-	status, response, err = f.Client.Call(to, path, body, timeout)
+	response, err = f.Client.Call(to, path, body, timeout)
 	if fault == loseResponse {
-		return 0, nil, transport.ErrOutcomeUnknown
+		return transport.Response{}, transport.ErrOutcomeUnknown
 	}
-	return status, response, err
+	return response, err
 }
 
 func (f *faultyClient) set(partitioned bool, faultEvery int) {
--- a/cluster/site/farside_test.go
+++ b/cluster/site/farside_test.go
@@ -134,9 +134,9 @@
 
 func (f countingMessenger) Call(
 	to cluster.MemberID, path string, body []byte, timeout time.Duration,
-) (status int, response []byte, err error) {
-	status, response, err = f.Client.Call(to, path, body, timeout)
+) (response transport.Response, err error) {
+	response, err = f.Client.Call(to, path, body, timeout)
 	f.counts.calls.Add(1)
-	f.counts.bytes.Add(int64(len(body) + len(response)))
-	return status, response, err
+	f.counts.bytes.Add(int64(len(body) + len(response.Body)))
+	return response, err
 }
--- a/cluster/transport/client.go
+++ b/cluster/transport/client.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -101,34 +102,49 @@
 	return &trackedConn{Conn: conn}, nil
 }
 
-// Call sends a request to a member and returns the status and the body of its response. An error wraps ErrNotSent or
+// ErrStatus is the error of Response.Decode for a response whose status is not 200.
+var ErrStatus = errors.New("the member has rejected the request")
+
+// Response is a member's response to a request.
+type Response struct {
+	Status int // of HTTP
+	Body   []byte
+}
+
+// Decode decodes the message of a response with status 200. Of any other it returns an error that wraps ErrStatus.
+func (r Response) Decode(message any) error {
+	if r.Status != fasthttp.StatusOK {
+		return fmt.Errorf("%w: status %d", ErrStatus, r.Status)
+	}
+	return Decode(r.Body, message)
+}
+
+// Call sends a request to a member and returns its response, whatever the status. An error wraps ErrNotSent or
 // ErrOutcomeUnknown. A time-out that is not positive is an error.
-func (c *Client) Call(
-	to cluster.MemberID, path string, body []byte, timeout time.Duration,
-) (status int, responseBody []byte, err error) {
+func (c *Client) Call(to cluster.MemberID, path string, body []byte, timeout time.Duration) (Response, error) {
 	c.mu.Lock()
 	p := c.peers[to]
 	c.mu.Unlock()
 	switch {
 	case p == nil:
-		return 0, nil, fmt.Errorf("%w: no address of member %s", ErrNotSent, to)
+		return Response{}, fmt.Errorf("%w: no address of member %s", ErrNotSent, to)
 	case len(body) > MaxMessageSize:
-		return 0, nil, fmt.Errorf("%w: %w", ErrNotSent, errMessageTooLarge)
+		return Response{}, fmt.Errorf("%w: %w", ErrNotSent, errMessageTooLarge)
 	case timeout <= 0:
-		return 0, nil, fmt.Errorf("%w: %w", ErrNotSent, fasthttp.ErrTimeout)
+		return Response{}, fmt.Errorf("%w: %w", ErrNotSent, fasthttp.ErrTimeout)
 	}
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	c.fillRequest(request, "http://"+p.address+path, body)
 	if err := p.do(request, response, timeout); err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", outcomeOf(response), err)
+		return Response{}, fmt.Errorf("%w: %w", outcomeOf(response), err)
 	}
-	responseBody, err = decompress(response.Body(), string(response.Header.Peek(compressionHeader)))
+	responseBody, err := decompress(response.Body(), string(response.Header.Peek(compressionHeader)))
 	if err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		return Response{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
-	return response.StatusCode(), append([]byte(nil), responseBody...), nil
+	return Response{Status: response.StatusCode(), Body: bytes.Clone(responseBody)}, nil
 }
 
 // fillRequest sets a request's method, URL, headers and body, compressed if that pays.
--- a/cluster/transport/client_test.go
+++ b/cluster/transport/client_test.go
@@ -79,10 +79,11 @@
 	random := make([]byte, 100_000)
 	_, _ = rand.Read(random)
 	for _, body := range [][]byte{nil, []byte("short"), bytes.Repeat([]byte("long"), 50_000), random} {
-		status, response, err := newTestClient(t, address).Call("b", "/x", body, time.Second)
+		response, err := newTestClient(t, address).Call("b", "/x", body, time.Second)
 		require.NoError(t, err)
-		require.Equal(t, 299, status)
-		require.True(t, bytes.Equal(append(body, 'a'), response))
+		require.Equal(t, 299, response.Status)
+		require.ErrorIs(t, response.Decode(new(string)), ErrStatus)
+		require.True(t, bytes.Equal(append(body, 'a'), response.Body))
 	}
 }
 
@@ -90,7 +91,7 @@
 	listener := listen(t)
 	require.NoError(t, listener.Close())
 	for _, member := range []cluster.MemberID{"b", "c"} {
-		_, _, err := newTestClient(t, listener.Addr().String()).Call(member, "/x", nil, time.Second)
+		_, err := newTestClient(t, listener.Addr().String()).Call(member, "/x", nil, time.Second)
 		require.ErrorIs(t, err, ErrNotSent)
 	}
 }
@@ -104,7 +105,7 @@
 	sendsNothing := func(_ net.Conn, in *bufio.Reader) { _, _ = in.ReadString(0) }
 	client := newTestClient(t, startRawServer(t, closesConnection, sendsHalf, sendsNothing))
 	for range 3 {
-		_, _, err := client.Call("b", "/x", []byte("body"), 200*time.Millisecond)
+		_, err := client.Call("b", "/x", []byte("body"), 200*time.Millisecond)
 		require.ErrorIs(t, err, ErrOutcomeUnknown)
 	}
 }
@@ -116,7 +117,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	client := newTestClient(t, startRawServer(t, func(net.Conn, *bufio.Reader) { <-done }))
-	_, _, err := client.Call("b", "/x", random, 300*time.Millisecond)
+	_, err := client.Call("b", "/x", random, 300*time.Millisecond)
 	require.ErrorIs(t, err, ErrNotSent)
 }
 
@@ -124,11 +125,11 @@
 func TestClient_ConnectionClosedWhileIdleIsNotUsed(t *testing.T) {
 	client := newTestClient(t, startRawServer(t, answerOnce, answerOnce))
 	for range 2 {
-		_, _, err := client.Call("b", "/x", nil, time.Second)
+		_, err := client.Call("b", "/x", nil, time.Second)
 		require.NoError(t, err)
 		time.Sleep(50 * time.Millisecond)
 	}
-	_, _, err := client.Call("b", "/x", nil, 100*time.Millisecond)
+	_, err := client.Call("b", "/x", nil, 100*time.Millisecond)
 	require.Error(t, err)
 }
 
@@ -136,11 +137,11 @@
 	one := startServer(t, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("one") })
 	two := startServer(t, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("two") })
 	client := newTestClient(t, one)
-	_, response, err := client.Call("b", "/x", nil, time.Second)
+	response, err := client.Call("b", "/x", nil, time.Second)
 	require.NoError(t, err)
-	require.Equal(t, "one", string(response))
+	require.Equal(t, "one", string(response.Body))
 	client.SetAddresses(map[cluster.MemberID]string{"b": two})
-	_, response, err = client.Call("b", "/x", nil, time.Second)
+	response, err = client.Call("b", "/x", nil, time.Second)
 	require.NoError(t, err)
-	require.Equal(t, "two", string(response))
+	require.Equal(t, "two", string(response.Body))
 }
--- a/test/integration/harness/shardmap.go
+++ b/test/integration/harness/shardmap.go
@@ -1,7 +1,6 @@
 package harness
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -40,13 +39,13 @@
 
 // requestShardMap requests the shard map of a raft node if it is newer than a version.
 func requestShardMap(client *transport.Client, node cluster.MemberID, version uint64,
-	timeout time.Duration) (response transport.StateResponse, ok bool) {
+	timeout time.Duration) (state transport.StateResponse, ok bool) {
 	request := transport.StateRequest{Versions: map[cluster.ComponentID]uint64{cluster.ShardMapComponent: version}}
-	status, body, err := client.Call(node, transport.StatePath, transport.Encode(request), timeout)
-	if err != nil || status != http.StatusOK {
-		return response, false
+	response, err := client.Call(node, transport.StatePath, transport.Encode(request), timeout)
+	if err != nil {
+		return state, false
 	}
-	return response, transport.Decode(body, &response) == nil
+	return state, response.Decode(&state) == nil
 }
 
 // Owner returns the member that owns and serves a destination's range, or nil.
