cmd/rowanctl: one kind of address for the operator, and the field's terms in tables

`rowanctl roles` (alias duties); columns REPLICA, KIND, ROLE, VERSION, WARMS UP FOR; values draining, departed, unresponsive. JSON keys and values are as before, for programs. Log keys: role (was duty), proxy (front), dispatchers (fleet). The generator of the lists in docs moves to serving/catalogue: internal/ imports nothing of serving/ any more.

--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 # Generates the lists of settings, log events and result codes in docs/ from the code. What was written by hand beside
 # each entry stays.
 catalogue:
-	go run ./internal/catalogue
+	go run ./serving/catalogue
 
 # A dispatcher with the example configuration; `make toy` in another terminal plays the platform and two destinations.
 run: build
--- a/cmd/rowanctl/config_test.go
+++ b/cmd/rowanctl/config_test.go
@@ -209,7 +209,7 @@
 	assert.ErrorContains(t, err, "no clear answer")
 	assert.Equal(t, exitInDoubt, exitCode(err))
 	s.targets = targets{}
-	assert.ErrorIs(t, (&configGetCommand{}).Run(ended, s), errNoControlAddress)
+	assert.ErrorIs(t, (&configGetCommand{}).Run(ended, s), errNoAddress)
 }
 
 func TestConfig_CheckMakesNoCalls(t *testing.T) {
--- a/cmd/rowanctl/endpoints.go
+++ b/cmd/rowanctl/endpoints.go
@@ -17,7 +17,8 @@
 type endpointRow struct {
 	ID               string `json:"id"`
 	Service          string `json:"service"`
-	State            string `json:"state"`
+	State            string `json:"state"` // in the words of the operators' wire
+	shownState       string
 	Zone             string `json:"zone"`
 	Address          string `json:"address"`
 	Slots            int    `json:"slots"`
@@ -28,7 +29,7 @@
 func (r endpointRow) cells() []string {
 	slots := strconv.Itoa(r.Slots)
 	warmUpLeft := fmt.Sprintf("%d ms", r.WarmUpLeftMillis)
-	return []string{r.ID, r.Service, r.State, r.Zone, r.Address, slots, orNoValue(r.SoftwareVersion), warmUpLeft}
+	return []string{r.ID, r.Service, r.shownState, r.Zone, r.Address, slots, orNoValue(r.SoftwareVersion), warmUpLeft}
 }
 
 // Run implements the command.
@@ -45,7 +46,8 @@
 		rows = append(rows, endpointRow{
 			ID:               endpoint.ID,
 			Service:          endpoint.Service,
-			State:            endpointStateName(endpoint),
+			State:            endpointStateName(endpoint, wireStateWords),
+			shownState:       endpointStateName(endpoint, shownStateWords),
 			Zone:             endpoint.Zone,
 			Address:          endpoint.Address,
 			Slots:            endpoint.Slots,
@@ -53,5 +55,5 @@
 			WarmUpLeftMillis: endpoint.WarmupLeftMillis,
 		})
 	}
-	return printTable(s, []string{"ID", "SERVICE", "STATE", "ZONE", "ADDRESS", "SLOTS", "EDITION", "COLD FOR"}, rows)
+	return printTable(s, []string{"ID", "SERVICE", "STATE", "ZONE", "ADDRESS", "SLOTS", "VERSION", "WARMS UP FOR"}, rows)
 }
--- a/cmd/rowanctl/main.go
+++ b/cmd/rowanctl/main.go
@@ -21,8 +21,8 @@
 // commandLine holds the flags and commands.
 type commandLine struct {
 	Control  []string         `help:"Control addresses (host:port) of core members, tried in turn." env:"ROWANLINK_CONTROL" placeholder:"ADDRESS"`
-	Inner    []string         `help:"Addresses (host:port) of members for calls between the system's processes; required without --settings." env:"ROWANLINK_INNER" placeholder:"ADDRESS"`
-	Settings string           `help:"Settings file of a process; its seeds are the defaults of --control and --inner." env:"ROWANLINK_SETTINGS" type:"path"`
+	Member   []string         `help:"Internal addresses (host:port) of the members to be asked what they know, instead of a core member at its control address." env:"ROWANLINK_MEMBER,ROWANLINK_INNER" aliases:"inner" placeholder:"ADDRESS"`
+	Settings string           `help:"Settings file of a process; its seeds are the default of --control." env:"ROWANLINK_SETTINGS" type:"path"`
 	Timeout  time.Duration    `help:"How long to retry." default:"10s"`
 	JSON     bool             `help:"Print JSON instead of tables."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
@@ -32,7 +32,7 @@
 	Members       membersCommand   `cmd:"" help:"List the members of the system."`
 	Endpoints     endpointsCommand `cmd:"" help:"List the endpoints."`
 	Replicas      replicasCommand  `cmd:"" help:"List the replicas of the configuration and evacuations."`
-	Duties        dutiesCommand    `cmd:"" help:"List the singleton roles and the members that hold them."`
+	Roles         rolesCommand     `cmd:"" aliases:"duties" help:"List the singleton roles and the members that hold them."`
 	Versions      versionsCommand  `cmd:"" help:"List which record and configuration each member has."`
 	CheckSettings settingsCommand  `cmd:"" name:"settings" help:"Check the settings file of a process."`
 }
--- a/cmd/rowanctl/members.go
+++ b/cmd/rowanctl/members.go
@@ -45,5 +45,5 @@
 			Serves:  member.ProxyAddress + member.ControlAddress, // a member has one of them
 		})
 	}
-	return printTable(s, []string{"NAME", "ROLE", "PART", "STATE", "ZONE", "REGION", "ADDRESS", "SERVES AT"}, rows)
+	return printTable(s, []string{"NAME", "ROLE", "REPLICA", "STATE", "ZONE", "REGION", "ADDRESS", "SERVES AT"}, rows)
 }
--- a/cmd/rowanctl/members_test.go
+++ b/cmd/rowanctl/members_test.go
@@ -43,7 +43,7 @@
 	address := startServer(t, mux)
 	introspect.Serve(mux, func(request introspect.Request) introspect.Report { return newTestReport(address) })
 	s, out := newSession()
-	s.targets.internal = []string{"127.0.0.1:1", address}
+	s.targets.members = []string{"127.0.0.1:1", address}
 	return s, out.String
 }
 
@@ -57,10 +57,10 @@
 	}{
 		{"members", &membersCommand{}, []string{"ready  n1", "down   n2", "10.0.0.1:80", "core   learner  ready",
 			"core   voter    down"}},
-		{"endpoints", &endpointsCommand{}, []string{"accepting, silent", "closing", "e2"}},
+		{"endpoints", &endpointsCommand{}, []string{"accepting, unresponsive", "draining", "e2"}},
 		{"replicas", &replicasCommand{}, []string{"c       down     4", "r2  voter    127.0.0.1:2  -       unknown",
 			"-   learner  127.0.0.1:9  d       ready"}},
-		{"duties", &dutiesCommand{}, []string{"loads  a       7"}},
+		{"roles", &rolesCommand{}, []string{"loads  a       7"}},
 		{"versions", &versionsCommand{}, []string{"a       5         9", "n1", "c       -", "no answer"}},
 	} {
 		s, printed := startMember(t)
@@ -86,16 +86,20 @@
 	require.NoError(t, os.WriteFile(path, []byte(content), 0o600))
 	addresses, err := (&commandLine{Settings: path}).targets()
 	require.NoError(t, err)
-	assert.Equal(t, targets{control: []string{"10.0.0.2:80"}, internal: []string{"10.0.0.1:7000", "10.0.0.2:7000"}}, addresses)
+	assert.Equal(t, targets{control: []string{"10.0.0.2:80"}, members: []string{"10.0.0.1:7000", "10.0.0.2:7000"}}, addresses)
 
-	addresses, err = (&commandLine{Settings: path, Control: []string{"c:1"}, Inner: []string{"i:1"}}).targets()
+	addresses, err = (&commandLine{Settings: path, Control: []string{"c:1"}, Member: []string{"i:1"}}).targets()
 	require.NoError(t, err)
-	assert.Equal(t, targets{control: []string{"c:1"}, internal: []string{"i:1"}}, addresses)
+	assert.Equal(t, targets{control: []string{"c:1"}, members: []string{"i:1"}}, addresses)
+
+	addresses, err = (&commandLine{Control: []string{"c:1"}}).targets()
+	require.NoError(t, err)
+	assert.Equal(t, targets{control: []string{"c:1"}, members: []string{"c:1"}}, addresses, "one kind of address suffices")
 
 	_, err = (&commandLine{Settings: filepath.Join(t.TempDir(), "absent")}).targets()
 	assert.Error(t, err)
 	s, _ := newSession()
-	assert.ErrorIs(t, (&membersCommand{}).Run(t.Context(), s), errNoInternalAddress)
+	assert.ErrorIs(t, (&membersCommand{}).Run(t.Context(), s), errNoAddress)
 }
 
 func TestSettings_CheckReportsErrors(t *testing.T) {
--- a/cmd/rowanctl/names.go
+++ b/cmd/rowanctl/names.go
@@ -14,12 +14,33 @@
 	state.MemberLeft:     "left",
 }
 
-var endpointStateNames = map[state.EndpointState]string{
-	state.EndpointAccepting: "accepting",
-	state.EndpointDraining:  "closing",
-	state.EndpointDeparted:  "gone",
+// endpointStateWords are the words for an endpoint's state.
+type endpointStateWords struct {
+	states       map[state.EndpointState]string
+	unresponsive string
 }
 
+var (
+	// shownStateWords are those in tables.
+	shownStateWords = endpointStateWords{
+		states: map[state.EndpointState]string{
+			state.EndpointAccepting: "accepting",
+			state.EndpointDraining:  "draining",
+			state.EndpointDeparted:  "departed",
+		},
+		unresponsive: "unresponsive",
+	}
+	// wireStateWords are those in JSON, which programs compare.
+	wireStateWords = endpointStateWords{
+		states: map[state.EndpointState]string{
+			state.EndpointAccepting: "accepting",
+			state.EndpointDraining:  "closing",
+			state.EndpointDeparted:  "gone",
+		},
+		unresponsive: "silent",
+	}
+)
+
 // Names for states of members that the members don't report themselves.
 const (
 	stateDown    = "down"
@@ -34,11 +55,11 @@
 	return memberStateNames[member.Member.State]
 }
 
-// endpointStateName returns the name of an endpoint's state.
-func endpointStateName(endpoint state.Endpoint) string {
-	name := endpointStateNames[endpoint.State]
+// endpointStateName returns an endpoint's state in some words.
+func endpointStateName(endpoint state.Endpoint, words endpointStateWords) string {
+	name := words.states[endpoint.State]
 	if endpoint.Unresponsive {
-		return name + ", silent"
+		return name + ", " + words.unresponsive
 	}
 	return name
 }
--- a/cmd/rowanctl/replicas.go
+++ b/cmd/rowanctl/replicas.go
@@ -8,7 +8,7 @@
 	"rowanlink/serving/state"
 )
 
-// The parts that replicas have in the register.
+// The kinds of replicas of the register.
 const (
 	replicaVoter   = "voter"
 	replicaLearner = "learner"
@@ -39,7 +39,7 @@
 		return err
 	}
 	rows := append(voterRows(report), learnerRows(report)...)
-	return printTable(s, []string{"ID", "PART", "ADDRESS", "MEMBER", "STATE", "EPOCH"}, rows)
+	return printTable(s, []string{"ID", "KIND", "ADDRESS", "MEMBER", "STATE", "EPOCH"}, rows)
 }
 
 func voterRows(report *introspect.Report) []replicaRow {
@@ -77,7 +77,7 @@
 	return rows
 }
 
-// replicaKind returns the part that a member has in the register; empty for one without a replica, and while the voters
+// replicaKind returns the kind of a member's replica; empty for one without a replica, and while the voters
 // are unknown.
 func replicaKind(report *introspect.Report, member state.Member) string {
 	if member.Role != state.RoleCore || len(report.Voters.Replicas) == 0 {
--- a/cmd/rowanctl/reports.go
+++ b/cmd/rowanctl/reports.go
@@ -20,13 +20,13 @@
 
 // firstReport returns the report of the first member address that answers.
 func (s *session) firstReport(ctx context.Context, request introspect.Request) (*introspect.Report, error) {
-	if len(s.targets.internal) == 0 {
-		return nil, errNoInternalAddress
+	if len(s.targets.members) == 0 {
+		return nil, errNoAddress
 	}
 	client := rpc.NewClient()
 	defer client.Close()
 	var failures error
-	for _, address := range s.targets.internal {
+	for _, address := range s.targets.members {
 		report, err := fetchReport(ctx, client, address, request)
 		if err == nil {
 			return report, nil
--- a/cmd/rowanctl/duties.go
+++ b/cmd/rowanctl/roles.go
@@ -7,8 +7,8 @@
 	"rowanlink/serving/introspect"
 )
 
-// dutiesCommand lists the singleton roles.
-type dutiesCommand struct{}
+// rolesCommand lists the singleton roles.
+type rolesCommand struct{}
 
 // singletonRow describes a singleton role.
 type singletonRow struct {
@@ -22,7 +22,7 @@
 }
 
 // Run implements the command.
-func (c *dutiesCommand) Run(ctx context.Context, s *session) error {
+func (c *rolesCommand) Run(ctx context.Context, s *session) error {
 	report, err := s.firstReport(ctx, introspect.Request{IncludeTables: true})
 	if err != nil {
 		return err
@@ -31,5 +31,5 @@
 	for _, claim := range report.SingletonClaims {
 		rows = append(rows, singletonRow{Role: claim.Role, Holder: claim.Holder, Epoch: claim.Epoch})
 	}
-	return printTable(s, []string{"DUTY", "HOLDER", "EPOCH"}, rows)
+	return printTable(s, []string{"ROLE", "HOLDER", "EPOCH"}, rows)
 }
--- a/cmd/rowanctl/targets.go
+++ b/cmd/rowanctl/targets.go
@@ -7,21 +7,23 @@
 	"rowanlink/serving/settings"
 )
 
-// Errors of commands without an address to call.
-var (
-	errNoControlAddress  = errors.New("no control address: give --control or --settings")
-	errNoInternalAddress = errors.New("no member address: give --inner or --settings")
-)
+// errNoAddress is the error of commands without an address to call.
+var errNoAddress = errors.New("no address: give --control or --settings")
 
 // targets are the addresses that a command may call, host:port.
 type targets struct {
-	control  []string // of the operators' API
-	internal []string // for calls between the system's processes
+	control []string // of the operators' API
+	members []string // of members that are asked what they know; core members answer that at their control address too
 }
 
-// targets returns the addresses in the flags and, for a flag that isn't set, those in the settings file.
+// targets returns the addresses in the flags and, for what isn't set, those in the settings file: control addresses are
+// the seeds. Members are asked at the addresses of --member, else of --control, else at the internal addresses of the
+// settings file's own machine and its seeds.
 func (l *commandLine) targets() (targets, error) {
-	addresses := targets{control: l.Control, internal: l.Inner}
+	addresses := targets{control: l.Control, members: l.Member}
+	if len(addresses.members) == 0 {
+		addresses.members = l.Control
+	}
 	if l.Settings == "" {
 		return addresses, nil
 	}
@@ -32,24 +34,24 @@
 	if len(addresses.control) == 0 {
 		addresses.control = processSettings.Seeds
 	}
-	if len(addresses.internal) > 0 {
+	if len(addresses.members) > 0 {
 		return addresses, nil
 	}
-	addresses.internal = []string{processSettings.InternalAddress()}
+	addresses.members = []string{processSettings.InternalAddress()}
 	for _, seed := range processSettings.Seeds {
 		address, err := processSettings.InternalAddressOf(seed)
 		if err != nil {
 			return addresses, errors.Wrap(err, "seed")
 		}
-		addresses.internal = append(addresses.internal, address)
+		addresses.members = append(addresses.members, address)
 	}
 	return addresses, nil
 }
 
-// operatorClient returns a client of the operators' API. The error is errNoControlAddress.
+// operatorClient returns a client of the operators' API. The error is errNoAddress.
 func (s *session) operatorClient() (*client.Client, error) {
 	if len(s.targets.control) == 0 {
-		return nil, errNoControlAddress
+		return nil, errNoAddress
 	}
 	return &client.Client{Addresses: s.targets.control}, nil
 }
--- a/serving/agent/agent.go
+++ b/serving/agent/agent.go
@@ -128,7 +128,7 @@
 	event.ProxyStateChanged.Log(a.log).
 		Uint8("from", uint8(a.announced.state)).
 		Uint8("to", uint8(current.state)).
-		Str("front", current.clientAddress).
+		Str("proxy", current.clientAddress).
 		Send()
 	if current.clientAddress != a.announced.clientAddress {
 		a.members.SetClientAddress(current.clientAddress)
--- a/serving/core/run.go
+++ b/serving/core/run.go
@@ -70,8 +70,10 @@
 	node      *register.Node
 	quorum    *quorum.Checker
 	endpoints *exchange.Exchange
-	control   *http.Server
-	closers   []func() // of the parts, in the order of their start
+	// introspector answers operators at the internal and at the control address.
+	introspector *introspector
+	control      *http.Server
+	closers      []func() // of the parts, in the order of their start
 }
 
 // start starts all parts. They run until close, or until the lifetime ends.
@@ -86,9 +88,9 @@
 		return err
 	}
 	c.startEndpoints(lifetime)
-	introspector := &introspector{members: c.members, node: c.node, endpoints: c.endpoints.Table()}
-	introspect.Serve(c.inner, introspector.report)
-	c.inner.Handle(metrics.Path, metrics.Handler(introspect.MetricsWriter(introspector.report)))
+	c.introspector = &introspector{members: c.members, node: c.node, endpoints: c.endpoints.Table()}
+	introspect.Serve(c.inner, c.introspector.report)
+	c.inner.Handle(metrics.Path, metrics.Handler(introspect.MetricsWriter(c.introspector.report)))
 	c.control = process.Serve(listeners.control, operator.NewServer(c.controlHandler()))
 	c.onClose(func() { _ = c.control.Close() }) // nothing is left to do with the connections
 	c.members.SetState(state.MemberReady)
@@ -191,7 +193,9 @@
 		Members: c.members.Members,
 		Clock:   time.Now,
 	}
-	return operator.New(operator.Options{
+	mux := http.NewServeMux()
+	introspect.Serve(mux, c.introspector.report) // an operator needs no other address than this one
+	mux.Handle("/", operator.New(operator.Options{
 		Register:   operator.NewRegister(c.node),
 		Endpoints:  c.endpoints.Table(),
 		Replicator: c.endpoints,
@@ -199,7 +203,8 @@
 		Regions:    process.Regions,
 		ForwardTo:  forwarder.ForwardTo,
 		Log:        c.options.Log,
-	})
+	}))
+	return mux
 }
 
 // shutDown finishes the requests in flight, transfers the vote to a learner, and leaves the membership.
--- a/serving/event/event.go
+++ b/serving/event/event.go
@@ -1,5 +1,5 @@
 // Package event numbers the events that the programs of the serving system log. docs/log-events.md lists every number
-// with its meaning and what to do; a test of internal/catalogue compares the two. Each part of the system has a block
+// with its meaning and what to do; a test of serving/catalogue compares the two. Each part of the system has a block
 // of a hundred numbers, in its own file.
 package event
 
--- a/serving/member/roles.go
+++ b/serving/member/roles.go
@@ -21,7 +21,7 @@
 			return
 		}
 		n.engine.PutLocal(now, entry)
-		event.SingletonRoleTaken.Log(n.log).Str("duty", role).Uint64("epoch", claim.Epoch).Send()
+		event.SingletonRoleTaken.Log(n.log).Str("role", role).Uint64("epoch", claim.Epoch).Send()
 	})
 	return assignment
 }
--- a/webhook/dispatcher/reload.go
+++ b/webhook/dispatcher/reload.go
@@ -96,7 +96,7 @@
 			"discovery", next.discoveryAddress(),
 			"slots", next.settings.MaxInFlight,
 			"buffer", next.settings.BufferSize,
-			"fleet", next.settings.Dispatchers,
+			"dispatchers", next.settings.Dispatchers,
 			"event_types", len(next.catalog.EventTypes),
 			"kinds", len(next.catalog.Kinds))
 	}
