--- a/cluster/member/handoff/batch_test.go
+++ b/cluster/member/handoff/batch_test.go
@@ -124,7 +124,7 @@
 
 // TestClose_WaitsForCallsInFlight closes a manager while a peer doesn't reply to a query.
 func TestClose_WaitsForCallsInFlight(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	m := newTestManager(t)
