--- a/test/integration/serving/cluster_test.go
+++ b/test/integration/serving/cluster_test.go
@@ -235,7 +235,12 @@
 
 // report returns what a core or an agent knows; false if it doesn't respond.
 func (c *cluster) report(n *node) (*introspect.Report, bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	return c.fetchReport(context.Background(), n)
+}
+
+// fetchReport is report until a context ends.
+func (c *cluster) fetchReport(ctx context.Context, n *node) (*introspect.Report, bool) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	report, err := introspect.Fetch(ctx, c.rpc, n.address(portMembers), introspect.Request{IncludeTables: true})
 	return report, err == nil
--- a/test/integration/serving/quota_test.go
+++ b/test/integration/serving/quota_test.go
@@ -50,7 +50,7 @@
 	}
 	var down sync.Map // what members were taken for down
 	for _, observer := range append(append([]*node(nil), c.cores...), c.agents...) {
-		quotas.Go(func() { c.watchDownMembers(ctx.Done(), observer, &down) })
+		quotas.Go(func() { c.watchDownMembers(ctx, observer, &down) })
 	}
 	began := time.Now()
 	for number := range quotaChanges {
@@ -67,15 +67,11 @@
 	c.ledger.check(t)
 }
 
-// watchDownMembers records, until it is done, which members an observer takes for down.
-func (c *cluster) watchDownMembers(done <-chan struct{}, observer *node, down *sync.Map) {
-	for {
-		select {
-		case <-done:
-			return
-		case <-time.After(pollInterval):
-		}
-		report, answered := c.report(observer)
+// watchDownMembers records, until the context ends, which members an observer takes for down.
+func (c *cluster) watchDownMembers(ctx context.Context, observer *node, down *sync.Map) {
+	for ctx.Err() == nil {
+		time.Sleep(pollInterval)
+		report, answered := c.fetchReport(ctx, observer)
 		if answered {
 			for _, member := range report.Members {
 				if member.Down {
