serving/httpserver: a stream that the client has part of waits for retry budget instead of being cut

An endpoint's silence is no reason to end an answer sooner.

Change: retry.Decision says that only the budget is missing and when to ask again (50 ms at least); a started stream asks again until its time is over. A request of which nothing was sent is answered at once, as before.

--- a/serving/httpserver/retry.go
+++ b/serving/httpserver/retry.go
@@ -18,13 +18,7 @@
 	}
 	decision := f.grantedRetry
 	if decision == nil {
-		decided := f.decideRetry(retry.FailedAttempt{
-			Number:          f.attempts - 1,
-			Outcome:         outcome,
-			CountedAttempts: f.countedAttempts,
-			SentAttempts:    f.sentAttempts,
-			MayHaveRun:      f.mayHaveRun,
-		})
+		decided := f.decideNextAttempt(ctx, outcome)
 		decision = &decided
 	}
 	if !decision.Retry {
@@ -37,6 +31,27 @@
 	return true
 }
 
+// decideNextAttempt applies the retry policy to the attempt that has ended. A stream that the client has part of waits
+// for retry budget, as long as the request has time: to end it would lose what was sent, and its first attempt may have
+// been abandoned only because another one had been granted.
+func (f *forwarder) decideNextAttempt(ctx context.Context, outcome attempt.Outcome) retry.Decision {
+	for {
+		decision := f.decideRetry(retry.FailedAttempt{
+			Number:          f.attempts - 1,
+			Outcome:         outcome,
+			CountedAttempts: f.countedAttempts,
+			SentAttempts:    f.sentAttempts,
+			MayHaveRun:      f.mayHaveRun,
+		})
+		if !decision.BudgetExhausted || !f.stream.started {
+			return decision
+		}
+		if !ctxsleep.Sleep(ctx, decision.Backoff) {
+			f.abortConnection(ctx)
+		}
+	}
+}
+
 // mayAbandonAttempt decides whether an attempt without progress is to be ended: only if the request may then be
 // retried. It runs on another goroutine while the forwarder's own waits for the endpoint.
 func (f *forwarder) mayAbandonAttempt() bool {
--- a/serving/httpserver/stream_test.go
+++ b/serving/httpserver/stream_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"rowanlink/serving/attempt"
+	"rowanlink/serving/retry"
 	"rowanlink/serving/routing"
 	"rowanlink/test/fake/scriptedendpoint"
 )
@@ -123,6 +125,48 @@
 	}
 }
 
+// scarceRetries is a retry policy whose budget is used up for its first decisions after one that it grants.
+type scarceRetries struct {
+	RetryPolicy
+	decisions atomic.Int64
+	exhausted int64
+}
+
+func (s *scarceRetries) Decide(now time.Time, failed retry.FailedAttempt) retry.Decision {
+	if n := s.decisions.Add(1); n > 1 && n <= 1+s.exhausted {
+		return retry.Decision{BudgetExhausted: true, End: retry.EndFailed, Backoff: time.Millisecond}
+	}
+	return s.RetryPolicy.Decide(now, failed)
+}
+
+// TestStream_WaitsForRetryBudget: a stream was abandoned as another attempt had been granted, and that one didn't run.
+// The client has part of the stream already, so it isn't cut off while there is no budget for a third attempt.
+func TestStream_WaitsForRetryBudget(t *testing.T) {
+	r := newTestProxy(t, func(p *scriptedendpoint.Conn) {
+		p.ReadRequest()
+		p.WriteText(streamHead + chunk(testEvents(1, 2)))
+		p.ReadToEnd()
+	}, respondWith(misdirectedResponse), resumeStream(t, 5))
+	policy := &scarceRetries{RetryPolicy: r.server.options.RetryPolicy, exhausted: 5}
+	r.server.options.RetryPolicy = policy
+	a := r.do(r.request("/chat/x", ""))
+	assert.Equal(t, testEvents(1, 5), a.body)
+	assert.True(t, a.complete)
+	assert.Equal(t, int64(7), policy.decisions.Load(), "asked again until there was budget")
+	assert.Equal(t, []attempt.Outcome{attempt.TimedOut, attempt.Misdirected, attempt.Succeeded}, r.picker.recordedOutcomes())
+}
+
+// TestForward_RejectsAtOnceWithoutRetryBudget: a request of which the client has nothing yet is answered at once.
+func TestForward_RejectsAtOnceWithoutRetryBudget(t *testing.T) {
+	r := newPatientProxy(t, respondWith(rejectedResponse), respondWith(okResponse))
+	policy := &scarceRetries{RetryPolicy: r.server.options.RetryPolicy, exhausted: 1 << 30}
+	policy.decisions.Store(1)
+	r.server.options.RetryPolicy = policy
+	a := r.do(r.patientRequest("/fetch/x", ""))
+	assert.Equal(t, http.StatusServiceUnavailable, a.status)
+	assert.Equal(t, int64(2), policy.decisions.Load())
+}
+
 func TestStream_StalledStreamIsResumed(t *testing.T) {
 	r := newTestProxy(t, func(p *scriptedendpoint.Conn) {
 		p.ReadRequest()
--- a/serving/retry/policy.go
+++ b/serving/retry/policy.go
@@ -22,6 +22,8 @@
 const (
 	backoffUnit = 20 * time.Millisecond
 	maxBackoff  = 400 * time.Millisecond
+	// minBudgetWait is the least time until a request asks again for budget, which grows with each further request.
+	minBudgetWait = 50 * time.Millisecond
 	// maxUndeliveredAttempts bounds the attempts of a request that reached no endpoint that could have run it.
 	maxUndeliveredAttempts = 4
 )
@@ -54,11 +56,14 @@
 	TimeLeft   time.Duration // until the request's deadline
 }
 
-// Decision is what follows a failed attempt. Backoff is valid if Retry is set, End if it isn't.
+// Decision is what follows a failed attempt. Backoff is valid if Retry or BudgetExhausted is set, End if Retry isn't.
 type Decision struct {
 	Retry   bool
 	Backoff time.Duration
 	End     End
+	// BudgetExhausted: the request may be retried, only not now, since the retry budget is used up. A request that can't
+	// be ended without harm, such as a stream that the client has part of, calls Decide again after Backoff.
+	BudgetExhausted bool
 }
 
 // Policy decides on the retries of one proxy. It is safe for concurrent use.
@@ -120,7 +125,10 @@
 	if failed.SentAttempts > 0 {
 		budget := p.currentBudget(now, failed.Service)
 		if !budget.allowsRetry(p.limits, now.Sub(p.startedAt), p.proxies) {
-			return finalDecision(failed)
+			decision := finalDecision(failed)
+			decision.BudgetExhausted = true
+			decision.Backoff = max(wait, minBudgetWait)
+			return decision
 		}
 		budget.countRetry()
 	}
--- a/serving/retry/policy_test.go
+++ b/serving/retry/policy_test.go
@@ -85,6 +85,33 @@
 	assert.False(t, retries(4, 1), "a fourth one")
 }
 
+// TestDecide_BudgetExhausted: a request that could be retried is told when to ask again, and gets its retry once further
+// requests have raised the budget.
+func TestDecide_BudgetExhausted(t *testing.T) {
+	p := New(start, Limits{Ratio: 0.2, Window: 10 * time.Second}, 1)
+	now := start.Add(20 * time.Second)
+	failed := FailedAttempt{
+		Route:           &routing.Route{Kind: routing.KindIdempotent, MaxAttempts: 3},
+		Service:         "s",
+		Outcome:         attempt.Broken,
+		CountedAttempts: 1,
+		SentAttempts:    1,
+		TimeLeft:        time.Second,
+	}
+	decision := p.Decide(now, failed)
+	assert.False(t, decision.Retry)
+	assert.True(t, decision.BudgetExhausted)
+	assert.Equal(t, EndFailed, decision.End)
+	assert.GreaterOrEqual(t, decision.Backoff, minBudgetWait)
+	for range 100 {
+		p.CountRequest(now, "s")
+	}
+	assert.True(t, p.Decide(now, failed).Retry)
+
+	failed.CountedAttempts = 3
+	assert.False(t, p.Decide(now, failed).BudgetExhausted, "no budget helps a request without attempts left")
+}
+
 func TestDecide_BackoffBeyondDeadline(t *testing.T) {
 	now := start.Add(20 * time.Second)
 	rapid.Check(t, func(t *rapid.T) {
