--- a/serving/membership/evaluation.go
+++ b/serving/membership/evaluation.go
@@ -23,9 +23,9 @@
 
 // evaluateSuspicions marks the members as down that the majority of their watchers suspect. Watchers that are down have
 // no vote, and neither have those that this same evaluation may find to be down: where a whole region dies, the few
-// watchers outside of it decide. A member that most of its live watchers suspect is marked at once. One that is
-// suspected by the majority only where other suspected members have no vote is doubtful and is probed first, see
-// evaluateDoubtful: of two live members that watch each other, each would count the other as dead.
+// watchers outside of it decide. A member that most of its live watchers suspect, and two at least, is marked at once.
+// Any other is doubtful and is probed first, see settleDoubts: a single watcher may have lost just its own path to the
+// member, and of two live members that watch each other, each would count the other as dead.
 func (t *Table) evaluateSuspicions(now time.Time) {
 	suspecting := t.suspectingWatchers()
 	if len(suspecting) == 0 {
--- a/serving/membership/table.go
+++ b/serving/membership/table.go
@@ -273,6 +273,7 @@
 // remove removes a member.
 func (t *Table) remove(name string, tracked *trackedMember) {
 	delete(t.members, name)
+	delete(t.doubtful, name)
 	t.invalidateRing()
 	t.forgotten[name] = forgottenMember{role: tracked.member.Role, lastLiveAt: tracked.lastLiveAt}
 }
