--- a/cluster/lease/model_mutations_test.go
+++ b/cluster/lease/model_mutations_test.go
@@ -10,61 +10,65 @@
 	"rowanlink/webhook/api"
 )
 
-// Each model has one fault, outside the real objects; the search must find a violation, and none without the fault.
-// Mutations with untilTwoHolders continue until two members hold the lease at once; the others do so with
-// ROWAN_SEARCH_DEEPER.
+// The violations that the search finds.
+const (
+	twoHolders = "two members hold the lease"
+	released   = "a member holds a lease that the log has released"
+	lateAction = "a late action was admitted after one of a later epoch"
+)
+
+// mutatedModel is a model with one fault, outside the real objects.
+type mutatedModel struct {
+	mutation mutation
+	budget   faultBudget
+	finds    string // the violation
+}
+
+// mutatedModels are the faults. Those with untilTwoHolders continue until two members hold the lease at once; the others
+// do so with ROWAN_SEARCH_DEEPER.
+var mutatedModels = map[string]mutatedModel{
+	"TTL counted from the response": {
+		mutation: mutation{countFromResponse: true, untilTwoHolders: true},
+		finds:    twoHolders,
+	},
+	"no full TTL at a new leader": {
+		mutation: mutation{keepOldExpiry: true},
+		budget:   faultBudget{elections: 1},
+		finds:    released,
+	},
+	"fence lost at a restart": {
+		mutation: mutation{loseFence: true},
+		budget:   faultBudget{actions: 2, fenceRestarts: 1},
+		finds:    lateAction,
+	},
+	"renewal accepted after TakeExpired": {
+		mutation: mutation{renewExpired: true, untilTwoHolders: true},
+		finds:    twoHolders,
+	},
+	"leader answers without quorum contact": {
+		mutation: mutation{skipQuorumCheck: true},
+		budget:   faultBudget{elections: 1},
+		finds:    released,
+	},
+	"contact counted from when it is read": {
+		mutation: mutation{countContactFromArrival: true},
+		budget:   faultBudget{elections: 1, lateContacts: 1},
+		finds:    released,
+	},
+	"drift ignored": {
+		mutation: mutation{ignoreDrift: true, untilTwoHolders: true},
+		finds:    twoHolders,
+	},
+	"expiry of an earlier leader epoch": {
+		mutation: mutation{ignoreLeaderEpoch: true},
+		budget:   faultBudget{elections: 1},
+		finds:    released,
+	},
+}
+
+// TestModel_MutationsAreDetected: the search finds a violation in each mutated model, and none without the fault.
 func TestModel_MutationsAreDetected(t *testing.T) {
-	const (
-		twoHolders = "two members hold the lease"
-		released   = "a member holds a lease that the log has released"
-		lateAction = "a late action was admitted after one of a later epoch"
-	)
-	for name, m := range map[string]struct {
-		mutation mutation
-		budget   faultBudget
-		finds    string // the violation
-	}{
-		"TTL counted from the response": {
-			mutation{countFromResponse: true, untilTwoHolders: true},
-			faultBudget{},
-			twoHolders,
-		},
-		"no full TTL at a new leader": {
-			mutation{keepOldExpiry: true},
-			faultBudget{elections: 1},
-			released,
-		},
-		"fence lost at a restart": {
-			mutation{loseFence: true},
-			faultBudget{actions: 2, fenceRestarts: 1},
-			lateAction,
-		},
-		"renewal accepted after TakeExpired": {
-			mutation{renewExpired: true, untilTwoHolders: true},
-			faultBudget{},
-			twoHolders,
-		},
-		"leader answers without quorum contact": {
-			mutation{skipQuorumCheck: true},
-			faultBudget{elections: 1},
-			released,
-		},
-		"contact counted from when it is read": {
-			mutation{countContactFromArrival: true},
-			faultBudget{elections: 1, lateContacts: 1},
-			released,
-		},
-		"drift ignored": {
-			mutation{ignoreDrift: true, untilTwoHolders: true},
-			faultBudget{},
-			twoHolders,
-		},
-		"expiry of an earlier leader epoch": {
-			mutation{ignoreLeaderEpoch: true},
-			faultBudget{elections: 1},
-			released,
-		},
-	} {
+	for name, m := range mutatedModels {
 		t.Run(name, func(t *testing.T) {
 			if extraDepth > 0 && m.finds == released {
 				m.mutation.untilTwoHolders = true
--- a/cluster/shardmap/model_actions_test.go
+++ b/cluster/shardmap/model_actions_test.go
@@ -155,25 +155,37 @@
 	p.setSteps(n, stepJournalWebhook, stepAcceptToClient)
 }
 
+// addFor adds a transition of a webhook at a member if it is enabled.
+func (t *transitionList) addFor(
+	i, n int8, enabled bool, name string, faultFree bool, apply func(*model, int8, int8),
+) {
+	t.add(enabled, transition{name: name, target: i, webhook: n, faultFree: faultFree, apply: apply})
+}
+
+// webhookTransitions appends those of a webhook at a member.
 func (md *model) webhookTransitions(i, n int8, all []transition) []transition {
 	p := &md.processes[i]
-	add := func(enabled bool, name string, faultFree bool, apply func(*model, int8, int8)) {
-		if enabled {
-			all = append(all, transition{
-				name:      name,
-				target:    i,
-				webhook:   n,
-				faultFree: faultFree,
-				apply:     apply,
-			})
-		}
-	}
 	if p.isBusy() {
 		return all
 	}
-	decision, c := md.decision(i), p.copies[n]
+	t := transitionList(all)
+	md.addClientTransitions(&t, i, n)
 	waits := p.awaiting[n].kind != noMessage
-	add(md.budget.clients&(1<<n) != 0, "a client submits", true, func(md *model, i, n int8) {
+	if !p.copies[n].present || waits && !md.mutation.callsInDoubt {
+		return t
+	}
+	if p.memory[n].to <= 0 || md.mutation.callsInDoubt {
+		md.addOwnedTransitions(&t, i, n)
+	} else {
+		md.addInDoubtTransitions(&t, i, n)
+	}
+	return t
+}
+
+// addClientTransitions adds the submission of a webhook, and the wait for the reply to a message about it.
+func (md *model) addClientTransitions(t *transitionList, i, n int8) {
+	waits := md.processes[i].awaiting[n].kind != noMessage
+	t.addFor(i, n, md.budget.clients&(1<<n) != 0, "a client submits", true, func(md *model, i, n int8) {
 		md.budget.clients &^= 1 << n
 		md.processes[i].fromClient[n] = true
 		if md.decision(i).Action != Forward {
@@ -182,36 +194,41 @@
 		}
 		md.sendOffer(i, n, 0, md.decision(i).Owner)
 	})
-	add(waits && !slices.ContainsFunc(md.network[:], func(m message) bool {
+	t.addFor(i, n, waits && !slices.ContainsFunc(md.network[:], func(m message) bool {
 		return m.kind != noMessage && m.webhook == n && (m.from == i || m.to == i)
 	}), "gets no reply", true, (*model).timeOut)
-	add(waits, "times out", false, (*model).timeOut)
-	if !c.present || waits && !md.mutation.callsInDoubt {
-		return all
-	}
+	t.addFor(i, n, waits, "times out", false, (*model).timeOut)
+}
+
+// addOwnedTransitions adds what a member does with a copy that isn't in doubt.
+func (md *model) addOwnedTransitions(t *transitionList, i, n int8) {
+	p, decision := &md.processes[i], md.decision(i)
+	c := p.copies[n]
 	inDoubt := p.memory[n].to > 0
 	parked := c.move != 0 && md.mapOf(i).OwnerByMove(MoveID(c.move)) == OwnerUndecided
-	if !inDoubt || md.mutation.callsInDoubt {
-		add(c.calling, "its call completes", true, func(md *model, i, n int8) { md.endWebhook(i, n) })
-		add(c.calling && md.budget.unknownOutcomes > 0, "its call ends with an unknown outcome", false, func(md *model, i, n int8) {
-			md.budget.unknownOutcomes--
-			md.processes[i].copies[n].calling = false
-		})
-		transfer := md.transferred(i, n).DecideTransfer(md.eventType(), 0, 9, api.Micros(md.now))
-		add(!c.calling && transfer != TransferWebhook, "ends the webhook", true, (*model).endWebhook)
-		isReady := !c.calling && transfer == TransferWebhook && !parked
-		add(isReady && decision.AllowsCall(false), "begins a call", true, (*model).beginCall)
-		to, id := decision.Owner, MoveID(0)
-		if decision.Action == ParkOwned && decision.Move.From == memberIDs[i] {
-			to, id = decision.Move.To, decision.Move.ID
-		}
-		away := decision.Action == Forward || id != 0
-		add(isReady && !inDoubt && away && md.hasRoom(), "offers the webhook", true,
-			func(md *model, i, n int8) { md.sendOffer(i, n, id, to) })
-		return all
+	t.addFor(i, n, c.calling, "its call completes", true, func(md *model, i, n int8) { md.endWebhook(i, n) })
+	t.addFor(i, n, c.calling && md.budget.unknownOutcomes > 0, "its call ends with an unknown outcome", false, func(md *model, i, n int8) {
+		md.budget.unknownOutcomes--
+		md.processes[i].copies[n].calling = false
+	})
+	transfer := md.transferred(i, n).DecideTransfer(md.eventType(), 0, 9, api.Micros(md.now))
+	t.addFor(i, n, !c.calling && transfer != TransferWebhook, "ends the webhook", true, (*model).endWebhook)
+	isReady := !c.calling && transfer == TransferWebhook && !parked
+	t.addFor(i, n, isReady && decision.AllowsCall(false), "begins a call", true, (*model).beginCall)
+	to, id := decision.Owner, MoveID(0)
+	if decision.Action == ParkOwned && decision.Move.From == memberIDs[i] {
+		to, id = decision.Move.To, decision.Move.ID
 	}
+	away := decision.Action == Forward || id != 0
+	t.addFor(i, n, isReady && !inDoubt && away && md.hasRoom(), "offers the webhook", true,
+		func(md *model, i, n int8) { md.sendOffer(i, n, id, to) })
+}
+
+// addInDoubtTransitions adds what a member does with a copy that another member may have too.
+func (md *model) addInDoubtTransitions(t *transitionList, i, n int8) {
+	p := &md.processes[i]
 	o := p.memory[n].record(webhookID(n)).Offer
-	add(md.hasRoom(), "queries", true, func(md *model, i, n int8) {
+	t.addFor(i, n, md.hasRoom(), "queries", true, func(md *model, i, n int8) {
 		e := md.processes[i].memory[n]
 		md.processes[i].awaiting[n] = message{
 			kind:        queryMessage,
@@ -223,8 +240,7 @@
 		}
 		md.send(md.processes[i].awaiting[n])
 	})
-	add(md.hasRoom(), "repeats the offer", false, func(md *model, i, n int8) { md.sendOffer(i, n, o.Move, o.To) })
-	return all
+	t.addFor(i, n, md.hasRoom(), "repeats the offer", false, func(md *model, i, n int8) { md.sendOffer(i, n, o.Move, o.To) })
 }
 
 func (md *model) beginCall(i, n int8) {
--- a/cluster/shardmap/model_owner_test.go
+++ b/cluster/shardmap/model_owner_test.go
@@ -7,77 +7,98 @@
 	"rowanlink/webhook/api"
 )
 
+// transitionList collects the transitions that are enabled in a state.
+type transitionList []transition
+
+// add adds a transition of a member, or of a webhook at a member, if it is enabled.
+func (t *transitionList) add(enabled bool, next transition) {
+	if enabled {
+		*t = append(*t, next)
+	}
+}
+
+// addAt adds a transition of a member if it is enabled.
+func (t *transitionList) addAt(enabled bool, name string, target int8, faultFree bool, apply func(*model, int8, int8)) {
+	t.add(enabled, transition{name: name, target: target, faultFree: faultFree, apply: apply})
+}
+
 // ownerTransitions appends those of map, lease and coordinator.
 func (md *model) ownerTransitions(all []transition) []transition {
-	add := func(enabled bool, name string, target int8, faultFree bool, apply func(*model, int8, int8)) {
-		if enabled {
-			all = append(all, transition{
-				name:      name,
-				target:    target,
-				faultFree: faultFree,
-				apply:     apply,
-			})
-		}
-	}
-	logged := md.loggedRange()
-	add(md.leaseHeld && md.processes[md.holder].epoch != md.epoch, "the log ends the lease", 0, true,
+	t := transitionList(all)
+	t.addAt(md.leaseHeld && md.processes[md.holder].epoch != md.epoch, "the log ends the lease", 0, true,
 		func(md *model, _, _ int8) { md.leaseHeld = false })
 	for i := range md.members {
-		p, r := &md.processes[i], md.mapOf(i).Ranges[0]
-		if p.isBusy() {
-			continue
+		if !md.processes[i].isBusy() {
+			md.addLeaseTransitions(&t, i)
+			md.addOwnerFaults(&t, i)
 		}
-		add(p.epoch == 0 && r.ShouldAcquire(memberIDs[i]) && !md.leaseHeld && md.budget.grants > 0, "is granted the lease", i, true,
-			func(md *model, i, _ int8) {
-				md.budget.grants--
-				md.epoch++
-				md.leaseHeld, md.holder = true, i
-				p := &md.processes[i]
-				p.epoch, p.isolated, p.releasedLease = md.epoch, false, false
-			})
-		add(p.epoch != 0 && r.Owner == memberIDs[i] && p.epoch > uint8(r.Epoch) && r.Move.Step != StepHandoff &&
-			logged.Epoch < r.Epoch+1 && p.mapID == md.mapID, "confirms ownership", i, true, func(md *model, i, _ int8) {
-			r := md.mapOf(i).Ranges[0]
-			md.propose(ConfirmOwner(r.ID, memberIDs[i], clusterEpoch(md.processes[i].epoch), md.mapOf(i).Version))
-		})
-		inHandoff := r.Move.Step == StepHandoff && logged.Move.Step == StepHandoff
-		add(p.epoch != 0 && inHandoff && r.Move.To == memberIDs[i], "switches the owner", i, true, (*model).switchOwner)
-		add(p.epoch != 0 && md.shouldRelease(i, r), "releases the lease", i, true, func(md *model, i, _ int8) {
-			md.processes[i].epoch, md.processes[i].releasedLease, md.leaseHeld = 0, true, false
-		})
-		add(md.canClear(i, logged.Move) && p.mapID == md.mapID, "clears the move", i, true, func(md *model, i, _ int8) {
-			md.propose(ClearMove(md.loggedRange().Move.ID, memberIDs[i]))
+	}
+	md.addMoveTransitions(&t)
+	return t
+}
+
+// addLeaseTransitions adds what a member does by its map and its lease.
+func (md *model) addLeaseTransitions(t *transitionList, i int8) {
+	p, r, logged := &md.processes[i], md.mapOf(i).Ranges[0], md.loggedRange()
+	t.addAt(p.epoch == 0 && r.ShouldAcquire(memberIDs[i]) && !md.leaseHeld && md.budget.grants > 0, "is granted the lease", i, true,
+		func(md *model, i, _ int8) {
+			md.budget.grants--
+			md.epoch++
+			md.leaseHeld, md.holder = true, i
+			p := &md.processes[i]
+			p.epoch, p.isolated, p.releasedLease = md.epoch, false, false
 		})
-		add(p.epoch != 0 && md.budget.expiries > 0, "its session expires", i, false, func(md *model, i, _ int8) {
-			md.budget.expiries--
-			md.processes[i].epoch = 0
+	t.addAt(p.epoch != 0 && r.Owner == memberIDs[i] && p.epoch > uint8(r.Epoch) && r.Move.Step != StepHandoff &&
+		logged.Epoch < r.Epoch+1 && p.mapID == md.mapID, "confirms ownership", i, true, func(md *model, i, _ int8) {
+		r := md.mapOf(i).Ranges[0]
+		md.propose(ConfirmOwner(r.ID, memberIDs[i], clusterEpoch(md.processes[i].epoch), md.mapOf(i).Version))
+	})
+	inHandoff := r.Move.Step == StepHandoff && logged.Move.Step == StepHandoff
+	t.addAt(p.epoch != 0 && inHandoff && r.Move.To == memberIDs[i], "switches the owner", i, true, (*model).switchOwner)
+	t.addAt(p.epoch != 0 && md.shouldRelease(i, r), "releases the lease", i, true, func(md *model, i, _ int8) {
+		md.processes[i].epoch, md.processes[i].releasedLease, md.leaseHeld = 0, true, false
+	})
+	t.addAt(md.canClear(i, logged.Move) && p.mapID == md.mapID, "clears the move", i, true, func(md *model, i, _ int8) {
+		md.propose(ClearMove(md.loggedRange().Move.ID, memberIDs[i]))
+	})
+}
+
+// addOwnerFaults adds what happens to a member, and what the coordinator orders for it.
+func (md *model) addOwnerFaults(t *transitionList, i int8) {
+	p, logged := &md.processes[i], md.loggedRange()
+	t.addAt(p.epoch != 0 && md.budget.expiries > 0, "its session expires", i, false, func(md *model, i, _ int8) {
+		md.budget.expiries--
+		md.processes[i].epoch = 0
+	})
+	t.addAt(p.epoch == 0 && !p.isolated && md.budget.isolations > 0, "becomes isolated", i, false, func(md *model, i, _ int8) {
+		md.budget.isolations--
+		md.processes[i].isolated = true
+	})
+	t.addAt(p.isolated, "is no longer isolated", i, true, func(md *model, i, _ int8) { md.processes[i].isolated = false })
+	t.addAt(md.budget.failovers > 0 && !md.leaseHeld && logged.Owner != memberIDs[i], "the range fails over to", i, false,
+		func(md *model, i, _ int8) {
+			md.budget.failovers--
+			md.propose(Coordinator(1).FailOver([]Takeover{{1, md.loggedRange().Owner, memberIDs[i]}}))
 		})
-		add(p.epoch == 0 && !p.isolated && md.budget.isolations > 0, "becomes isolated", i, false, func(md *model, i, _ int8) {
-			md.budget.isolations--
-			md.processes[i].isolated = true
+	t.addAt(md.budget.moves > 0 && logged.IsStable() && logged.Owner != memberIDs[i], "a move is planned to", i, false,
+		func(md *model, i, _ int8) {
+			md.budget.moves--
+			md.propose(Coordinator(1).PlanMove(1, md.loggedRange().Owner, memberIDs[i]))
+			md.propose(Coordinator(1).AdvanceMove(md.loggedRange().Move.ID, StepWarming))
 		})
-		add(p.isolated, "is no longer isolated", i, true, func(md *model, i, _ int8) { md.processes[i].isolated = false })
-		add(md.budget.failovers > 0 && !md.leaseHeld && logged.Owner != memberIDs[i], "the range fails over to", i, false,
-			func(md *model, i, _ int8) {
-				md.budget.failovers--
-				md.propose(Coordinator(1).FailOver([]Takeover{{1, md.loggedRange().Owner, memberIDs[i]}}))
-			})
-		add(md.budget.moves > 0 && logged.IsStable() && logged.Owner != memberIDs[i], "a move is planned to", i, false,
-			func(md *model, i, _ int8) {
-				md.budget.moves--
-				md.propose(Coordinator(1).PlanMove(1, md.loggedRange().Owner, memberIDs[i]))
-				md.propose(Coordinator(1).AdvanceMove(md.loggedRange().Move.ID, StepWarming))
-			})
-	}
-	add(logged.Move.Step == StepWarming, "the move begins its hand-off", 0, true, func(md *model, _, _ int8) {
+}
+
+// addMoveTransitions adds the steps of a running move.
+func (md *model) addMoveTransitions(t *transitionList) {
+	logged := md.loggedRange()
+	t.addAt(logged.Move.Step == StepWarming, "the move begins its hand-off", 0, true, func(md *model, _, _ int8) {
 		md.propose(Coordinator(1).AdvanceMove(md.loggedRange().Move.ID, StepHandoff))
 	})
-	add(md.budget.reverts > 0 && logged.Move.IsOpen() && logged.Move.Step < StepSwitched, "the move is reverted", 0, false,
+	t.addAt(md.budget.reverts > 0 && logged.Move.IsOpen() && logged.Move.Step < StepSwitched, "the move is reverted", 0, false,
 		func(md *model, _, _ int8) {
 			md.budget.reverts--
 			md.propose(Coordinator(1).RevertMove(md.loggedRange().Move.ID))
 		})
-	return all
 }
 
 // shouldRelease counts each copy that is here as outstanding; one that is in doubt was not handed over.
