serving/register: no second write after a change of the voters that another process has completed

The learner that fits best and the process that repairs the voters both begin the change; the one that loses proposes a joint record in an attempt that fails, then finds the other's record committed and confirmed, and wrote it once more all the same, since the change had ever proposed other voters.

Change: the last attempt's result says whether its record still has outgoing voters, and only then is the record written again. A change that ends without a write of its own has confirmed the newest record without outgoing voters already (confirm). The model in the exhaustive search keeps its own note of joint proposals, so it visits the same states.

--- a/serving/register/attempt.go
+++ b/serving/register/attempt.go
@@ -25,6 +25,7 @@
 	outcome attemptOutcome
 	record  state.Record
 	err     error
+	isJoint bool // the record was committed with outgoing voters, whose majority is still needed
 }
 
 func failedAttempt(err error) attemptResult { return attemptResult{outcome: attemptFailed, err: err} }
@@ -62,7 +63,11 @@
 	if err := p.accept(ctx, ballot, resolved.proposal); err != nil {
 		return failedAttempt(err)
 	}
-	return attemptResult{outcome: attemptDecided, record: resolved.proposal.Record}
+	return attemptResult{
+		outcome: attemptDecided,
+		record:  resolved.proposal.Record,
+		isJoint: resolved.proposal.isJoint(),
+	}
 }
 
 // finishOther commits a reconfiguration that another proposer has begun: changes of the voters must not overlap.
--- a/serving/register/change.go
+++ b/serving/register/change.go
@@ -16,7 +16,6 @@
 	attempts        int    // that were begun before the present one
 	proposed        bool   // an Accept round was begun for some proposal of the change
 	highestRevision uint64 // of those proposals
-	changesVoters   bool   // some of those proposals are joint
 }
 
 // decision is what a change makes of the newest proposal.
@@ -53,7 +52,6 @@
 func (c *change) recordProposal(next *Proposal) {
 	c.proposed = true
 	c.highestRevision = max(c.highestRevision, next.Record.Revision)
-	c.changesVoters = c.changesVoters || next.isJoint()
 }
 
 // abandonmentError returns the error of a change whose context ended, given the error of its last attempt.
--- a/serving/register/explore_state_test.go
+++ b/serving/register/explore_state_test.go
@@ -30,7 +30,8 @@
 	known          learnedState
 	scriptPosition int // index of the change in the script
 	change         change
-	round          int // index of the current round; negative: none
+	changesVoters  bool // some of the change's proposals are joint
+	round          int  // index of the current round; negative: none
 	granted        map[string]Vote
 	// outcomeOnAccept is the outcome of the attempt once its Accept round has a quorum.
 	outcomeOnAccept attemptOutcome
@@ -121,6 +122,7 @@
 		id:     ChangeID{Proposer: proposerName(index), Sequence: uint64(p.scriptPosition + 1)},
 		update: s.scripts[index][p.scriptPosition],
 	}
+	p.changesVoters = false
 	w.beginAttempt(index)
 }
 
@@ -240,6 +242,7 @@
 	resolved := p.change.resolve(&newest)
 	if resolved.write {
 		p.change.recordProposal(&resolved.proposal)
+		p.changesVoters = p.changesVoters || resolved.proposal.isJoint()
 		w.propose(index, round.ballot, resolved.proposal, attemptDecided)
 		return
 	}
@@ -289,7 +292,7 @@
 // completeChange ends a change, acknowledged or rejected.
 func (w *exploredState) completeChange(s *scenario, index int, proposal *Proposal) {
 	p := &w.proposers[index]
-	if !p.rejected && !p.change.changesVoters && proposal.containsChange(p.change.id) {
+	if !p.rejected && !p.changesVoters && proposal.containsChange(p.change.id) {
 		w.acknowledge(p, proposal)
 	}
 	w.evacuationEnded = w.evacuationEnded || s.sequential && index == len(w.proposers)-1
--- a/serving/register/proposer.go
+++ b/serving/register/proposer.go
@@ -62,35 +62,35 @@
 		return state.Record{}, errcode.RegisterUnavailable.With("earlier changes took too long")
 	}
 	change := p.newChange(update)
-	record, err := p.runToDecision(ctx, change)
-	if err == nil && change.changesVoters {
+	result := p.runToDecision(ctx, change)
+	if result.err == nil && result.isJoint {
 		p.finishReconfiguration(ctx)
 	}
-	return record, err
+	return result.record, result.err
 }
 
-// runToDecision makes attempts until the change is decided or the context ends.
-func (p *Proposer) runToDecision(ctx context.Context, change *change) (state.Record, error) {
+// runToDecision makes attempts until the change is decided or the context ends, and returns the last one's result.
+func (p *Proposer) runToDecision(ctx context.Context, change *change) attemptResult {
 	last := errNoQuorum
 	for ; ctx.Err() == nil && p.lifetime.Err() == nil; change.attempts++ {
 		begun := time.Now()
 		result := p.runAttempt(ctx, change)
 		switch result.outcome {
 		case attemptDecided:
-			return result.record, result.err
+			return result
 		case attemptFailed:
 			last = result.err
 			ctxsleep.Sleep(ctx, retryBackoff(change.attempts, time.Since(begun)))
 		case attemptFinishedOther:
 		}
 	}
-	return state.Record{}, change.abandonmentError(last)
+	return failedAttempt(change.abandonmentError(last))
 }
 
 // finishReconfiguration writes the record once more after a change of the voters, without the outgoing voters, so that
 // their majority is no longer needed. Errors are ignored: the next change or read does it otherwise.
 func (p *Proposer) finishReconfiguration(ctx context.Context) {
-	_, _ = p.runToDecision(ctx, p.newChange(confirmOnly))
+	_ = p.runToDecision(ctx, p.newChange(confirmOnly))
 }
 
 // newChange assigns the next change ID. The caller holds the change slot.
