serving/placement: the cost of a pick no longer grows with the number of endpoints

Cause: for each request all endpoints of its service were walked (which model is served, whether one is left untried), ranked by rendezvous hashing in each region, once more for the owner, and counted after each outcome to see whether most are ejected.

Change: the walks end at the first endpoint that settles the question; the ranking of owners is remembered by prefix, model and filter until something changes that determines it (an endpoint's region, state, models, suspicion, reported warm-up; the service's majority); the calls of a region are summed up only for an owner with more than ownerLoadSlack of them; ejected endpoints are counted only when an ejection or exclusion changes.

--- a/serving/placement/eligibility.go
+++ b/serving/placement/eligibility.go
@@ -47,6 +47,14 @@
 	return len(homes) == 0 || slices.Contains(homes, region)
 }
 
+// isUntried reports whether the endpoint could serve the request and has not been tried for it.
+func (s *candidateSearch) isUntried(e *endpoint) bool {
+	return !e.excluded && s.allowsRegion(e.region) && !slices.Contains(s.request.TriedEndpoints, e.info.ID)
+}
+
+// servesModel reports whether the endpoint has announced the request's model.
+func (s *candidateSearch) servesModel(e *endpoint) bool { return e.servesModel(s.request.Model) }
+
 // servesModel reports whether the endpoint has announced the model.
 func (e *endpoint) servesModel(model string) bool {
 	for index := range e.info.Models {
--- a/serving/placement/health.go
+++ b/serving/placement/health.go
@@ -85,6 +85,7 @@
 // applyOutcome updates what is known of an endpoint's health by the outcome of a call.
 func (p *Picker) applyOutcome(now time.Time, c *call, outcome attempt.Outcome) {
 	e := c.endpoint
+	wasEjected, wasExcluded := e.health.isEjected(), e.excluded
 	switch outcome {
 	case attempt.Succeeded:
 		p.recordRecovery(now, e)
@@ -95,6 +96,7 @@
 		p.applyRejection(now, c)
 	case attempt.Misdirected:
 		e.replaced, e.excluded = true, true
+		e.service.forgetOwners()
 		e.warmup.undoSend(c)
 	case attempt.TimedOut:
 		p.pendingObservation(e).Failures++
@@ -111,7 +113,9 @@
 	case attempt.Canceled:
 		e.ejectIfUnresponsive(now, c)
 	}
-	e.service.updateMajorityEjected()
+	if e.health.isEjected() != wasEjected || e.excluded != wasExcluded {
+		e.service.updateMajorityEjected()
+	}
 }
 
 // applyRejection backs off from an endpoint that has rejected a call, unless the call is larger than its KV cache:
--- a/serving/placement/pick.go
+++ b/serving/placement/pick.go
@@ -82,15 +82,8 @@
 		}
 	}
 	s.ownRegionAllowed = s.allowsRegion(p.options.Region)
-	for _, e := range s.service.endpoints {
-		if s.request.Model != "" && e.servesModel(s.request.Model) {
-			s.modelServed = true
-		}
-		tried := slices.Contains(s.request.TriedEndpoints, e.info.ID)
-		if !tried && !e.excluded && s.allowsRegion(e.region) {
-			s.hasUntried = true
-		}
-	}
+	s.modelServed = s.request.Model != "" && slices.ContainsFunc(s.service.endpoints, s.servesModel)
+	s.hasUntried = slices.ContainsFunc(s.service.endpoints, s.isUntried)
 }
 
 // reserve accounts for the request's call at the chosen endpoint.
--- a/serving/placement/prefix_owner.go
+++ b/serving/placement/prefix_owner.go
@@ -1,5 +1,7 @@
 package placement
 
+import "time"
+
 const (
 	// maxPrefixOwners is how many endpoints, in rendezvous order, may act as the owner of a prefix.
 	maxPrefixOwners = 3
@@ -26,7 +28,7 @@
 		if !s.allowsRegion(r.name) {
 			continue
 		}
-		owners, _ := s.rankOwners(p.chain.sharedPrefixHash(), r, excludeWarmingUp)
+		owners := s.rankOwners(p.chain.sharedPrefixHash(), r, excludeWarmingUp)
 		if e := owners[0]; e != nil {
 			ownRegionHasOwner = ownRegionHasOwner || r.name == p.options.Region
 			if rank := mixHashes(p.chain.sharedPrefixHash(), e.hash); rank >= highest {
@@ -47,22 +49,35 @@
 	if s.sharedTokens == 0 {
 		return nil
 	}
-	owners, inFlight := s.rankOwners(p.chain.sharedPrefixHash(), r, excludeWarmingUp)
+	owners := s.rankOwners(p.chain.sharedPrefixHash(), r, excludeWarmingUp)
 	if owners[0] == nil {
-		owners, inFlight = s.rankOwners(p.chain.sharedPrefixHash(), r, includeWarmingUp)
+		owners = s.rankOwners(p.chain.sharedPrefixHash(), r, includeWarmingUp)
 	}
-	loadBound := ownerLoadFactor*float64(inFlight)/float64(len(r.endpoints)) + ownerLoadSlack
 	for _, e := range owners {
 		if e == nil {
 			break
 		}
-		if _, eligible := p.checkEligibility(s, e); eligible && float64(e.inFlight) <= loadBound {
+		if _, eligible := p.checkEligibility(s, e); eligible && r.allowsOwner(e) {
 			return e
 		}
 	}
 	return nil
 }
 
+// allowsOwner reports whether an owner's calls in flight are within the load bound. The sum over all endpoints of the
+// region is needed only if they exceed ownerLoadSlack.
+func (r *region) allowsOwner(owner *endpoint) bool {
+	if owner.inFlight <= ownerLoadSlack {
+		return true
+	}
+	inFlight := 0
+	for _, e := range r.endpoints {
+		inFlight += e.inFlight
+	}
+	loadBound := ownerLoadFactor*float64(inFlight)/float64(len(r.endpoints)) + ownerLoadSlack
+	return float64(owner.inFlight) <= loadBound
+}
+
 // warmupFilter determines whether endpoints that report that they are warming up can own prefixes. They could take only
 // few of a prefix's requests, so they are included only if there is no other.
 type warmupFilter bool
@@ -72,20 +87,30 @@
 	includeWarmingUp warmupFilter = true
 )
 
-// rankOwners returns the first endpoints of a region in rendezvous order, and the number of calls in flight at all
-// endpoints of the region. Only what all proxies know of an endpoint decides, so that they find the same order.
-func (s *candidateSearch) rankOwners(
-	prefix uint64, r *region, filter warmupFilter,
-) (owners [maxPrefixOwners]*endpoint, inFlight int) {
+// rankOwners returns the first endpoints of a region in rendezvous order. Only what all proxies know of an endpoint
+// decides, so that they find the same order. It is computed once for each prefix, model and filter, and again when
+// something that it depends on has changed: the endpoints of a large region are too many to rank for each request.
+func (s *candidateSearch) rankOwners(prefix uint64, r *region, filter warmupFilter) [maxPrefixOwners]*endpoint {
+	key := ownerKey{prefix: prefix, filter: filter}
+	if s.modelServed {
+		key.model = s.request.Model
+	}
+	if ranked, ok := r.owners.lookup(key, s.now); ok {
+		return ranked
+	}
 	var order topRanked
+	var warmupEnd time.Time
 	for _, e := range r.endpoints {
-		inFlight += e.inFlight
 		if s.mayOwnPrefix(e, filter) {
 			order.add(e, mixHashes(prefix, e.hash))
 		}
+		if until := e.warmup.reportedUntil; until.After(s.now) && (warmupEnd.IsZero() || until.Before(warmupEnd)) {
+			warmupEnd = until
+		}
 	}
-	copy(owners[:], order.endpoints[:])
-	return owners, inFlight
+	ranked := [maxPrefixOwners]*endpoint(order.endpoints[:])
+	r.owners.store(key, rankedOwners{endpoints: ranked, warmupEnd: warmupEnd})
+	return ranked
 }
 
 // mayOwnPrefix reports whether, as far as all proxies know, the endpoint can own prefixes.
--- a/serving/placement/service.go
+++ b/serving/placement/service.go
@@ -21,6 +21,9 @@
 	// ejected endpoints get more than probes.
 	majorityEjected bool
 
+	// ownersChanged: since the last snapshot, something has changed that determines which endpoints own prefixes.
+	ownersChanged bool
+
 	// maxConnections is this process's share of the limit on connections to one endpoint.
 	maxConnections int
 
@@ -36,7 +39,8 @@
 type region struct {
 	name        string
 	endpoints   []*endpoint
-	subset      []*endpoint                  // those that this proxy prefers
+	subset      []*endpoint // those that this proxy prefers
+	owners      ownerCache
 	queueDelays [priorityLevels]decayingMean // of all the endpoints together
 }
 
@@ -113,7 +117,11 @@
 	}
 	s.regions = slices.DeleteFunc(s.regions, func(r *region) bool { return len(r.endpoints) == 0 })
 	s.updateMajorityEjected()
+	wasSuspect := s.majoritySuspect
 	s.majoritySuspect = 2*suspects > all
+	if s.ownersChanged || s.majoritySuspect != wasSuspect {
+		s.forgetOwners()
+	}
 }
 
 // ensureRegion returns the region of a name. It adds one that is unknown.
--- a/serving/placement/snapshot.go
+++ b/serving/placement/snapshot.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"rowanlink/serving/routing"
@@ -87,6 +88,7 @@
 	}
 	for id, known := range p.endpoints {
 		if !known.inSnapshot {
+			known.service.ownersChanged = true
 			delete(p.endpoints, id)
 		}
 	}
@@ -99,20 +101,37 @@
 // updateEndpoint adds an endpoint or brings it up to date.
 func (p *Picker) updateEndpoint(now time.Time, info *state.Endpoint) *endpoint {
 	e := p.endpoints[info.ID]
-	if e == nil || e.service.name != info.Service {
-		e = newEndpoint(p.ensureService(info.Service), *info)
-		e.warmup.evacuationEndedAt = p.evacuationEndedAt[info.Zone]
-		p.endpoints[info.ID] = e
-		e.updateWarmup(now, info)
-	} else if info.Sequence > e.info.Sequence {
+	isNew := e == nil || e.service.name != info.Service
+	if isNew {
+		e = p.addEndpoint(info)
+	}
+	before := e.ownership()
+	if isNew || info.Sequence > e.info.Sequence {
 		e.replaced = false
 		e.updateWarmup(now, info)
 	}
+	sameModels := slices.EqualFunc(e.info.Models, info.Models, sameName)
 	e.info, e.inSnapshot = *info, true
 	e.region = p.options.Regions[info.Zone]
 	e.zone = p.ensureZone(info.Zone)
 	e.prefixCache.tokenLimit = e.service.cacheTokens() / 2 // the rest is for running requests and unshared blocks
 	e.excluded = e.replaced || info.State != state.EndpointAccepting || p.evacuated[info.Zone]
+	if isNew || !sameModels || e.ownership() != before {
+		e.service.ownersChanged = true
+	}
+	return e
+}
+
+func sameName(one, other state.Model) bool { return one.Name == other.Name }
+
+// addEndpoint adds an endpoint, instead of one of another service that had its ID.
+func (p *Picker) addEndpoint(info *state.Endpoint) *endpoint {
+	if former := p.endpoints[info.ID]; former != nil {
+		former.service.ownersChanged = true
+	}
+	e := newEndpoint(p.ensureService(info.Service), *info)
+	e.warmup.evacuationEndedAt = p.evacuationEndedAt[info.Zone]
+	p.endpoints[info.ID] = e
 	return e
 }
 
