Tests: full disks of the register, all agents and proxies killed together, a suspended proxy; which test plays which new disruption

TestNode_FullDisks: with all disks full no change is acknowledged, records are read as before, and changes succeed once there is room, without a restart.

--- a/serving/register/membership_test.go
+++ b/serving/register/membership_test.go
@@ -305,3 +305,39 @@
 		assert.NotContains(t, own.ReplicaID, genesisPrefix)
 	})
 }
+
+// TestNode_FullDisks: while all disks are full, changes aren't acknowledged, records are read as before, and nothing has
+// to be restarted once there is room again.
+func TestNode_FullDisks(t *testing.T) {
+	runSimulation(t, 3, func(t *testing.T, s *simulation) {
+		require.NoError(t, s.replace(s.machines[0], 1, 0, 1))
+		for _, m := range s.machines {
+			m.setDiskFaults(true, 0)
+		}
+		require.Error(t, s.replace(s.machines[0], 2, 1, 4))
+		for client, m := range s.machines {
+			record, err := s.read(m, client)
+			require.NoError(t, err)
+			assert.Equal(t, uint64(1), record.Configuration.Version)
+		}
+		for _, m := range s.machines {
+			m.setDiskFaults(false, 0)
+		}
+		require.NoError(t, s.replace(s.machines[1], 3, 1, 7), "no replica has saved the change before")
+	})
+}
+
+// TestNode_FullDiskOfOneReplica: one full disk stops nothing.
+func TestNode_FullDiskOfOneReplica(t *testing.T) {
+	runSimulation(t, 3, func(t *testing.T, s *simulation) {
+		for version, full := range s.machines {
+			full.setDiskFaults(true, 0)
+			for _, m := range s.machines {
+				_, err := s.read(m, 1)
+				require.NoError(t, err)
+			}
+			require.NoError(t, s.replace(full, 1, uint64(version), uint64(version+1)), "through the one with the full disk")
+			full.setDiskFaults(false, 0)
+		}
+	})
+}
--- a/test/integration/serving/chaos_test.go
+++ b/test/integration/serving/chaos_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"syscall"
 	"testing"
@@ -45,8 +46,10 @@
 	{"a core is killed and its disk lost", func(h *chaosRun) { h.killAndRestart(h.pickNode(h.cores), true) }},
 	{"an agent is killed", func(h *chaosRun) { h.killAndRestart(h.pickNode(h.agents), false) }},
 	{"a proxy is killed", func(h *chaosRun) { h.killProxyAndRestart() }},
+	{"all agents and proxies are killed together", func(h *chaosRun) { h.killHerdAndRestart() }},
 	{"a core is suspended", func(h *chaosRun) { h.suspend(h.pickNode(h.cores)) }},
 	{"an agent is suspended", func(h *chaosRun) { h.suspend(h.pickNode(h.agents)) }},
+	{"a proxy is suspended", func(h *chaosRun) { h.suspend(h.pickNode(h.proxies)) }},
 	{"a core is shut down", func(h *chaosRun) { h.terminateAndRestart(h.pickNode(h.cores)) }},
 	{"an agent is shut down", func(h *chaosRun) { h.terminateAndRestart(h.pickNode(h.agents)) }},
 	{"a proxy is shut down", func(h *chaosRun) { h.terminateAndRestart(h.pickNode(h.proxies)) }},
@@ -120,6 +123,24 @@
 	h.awaitRecovered(n)
 }
 
+// killHerdAndRestart kills all agents and proxies at the same moment, and restarts them all at the same moment.
+func (h *chaosRun) killHerdAndRestart() {
+	for _, n := range h.proxies {
+		h.ledger.killProxy(n.address(portClients), n.kill)
+	}
+	for _, n := range h.agents {
+		n.kill()
+	}
+	h.sleepRandomly()
+	herd := append(slices.Clone(h.agents), h.proxies...)
+	for _, n := range herd {
+		n.start()
+	}
+	for _, n := range herd {
+		h.awaitRecovered(n)
+	}
+}
+
 // suspend suspends a process for a while.
 func (h *chaosRun) suspend(n *node) {
 	n.log.Annotate("stop")
