--- a/serving/member/property_test.go
+++ b/serving/member/property_test.go
@@ -304,3 +304,31 @@
 	r.putNewest()
 	r.requireRecovery()
 }
+
+// TestMembers_FrozenForMinutes: machines freeze and wake minutes later. They have heard nobody meanwhile, and must not
+// mark the others as down for that, nor spread what they knew before as news.
+func TestMembers_FrozenForMinutes(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		frozen func(*faultRun) []*simNode
+	}{
+		{"one machine", func(r *faultRun) []*simNode { return r.nodes[:1] }},
+		{"a zone", func(r *faultRun) []*simNode { return r.inZone("b") }},
+		{"all but one", func(r *faultRun) []*simNode { return r.nodes[1:] }},
+		{"all", func(r *faultRun) []*simNode { return r.nodes }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newFaultRun(t, 1, 14)
+			const pause = 3 * time.Minute
+			for _, n := range test.frozen(r) {
+				r.freeze(n, pause)
+				r.nodeFaultAt[n] = r.now.Add(pause)
+			}
+			r.runChecked(pause / 2)
+			r.putNewest()
+			r.runChecked(pause / 2)
+			r.runChecked(10 * time.Second)
+			r.requireRecovery()
+		})
+	}
+}
