--- a/serving/placement/estimate.go
+++ b/serving/placement/estimate.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Costs that are added to the estimated time to first byte when endpoints are compared.
 const (
@@ -47,7 +50,7 @@
 	if e.region != p.options.Region && s.ownRegionAllowed {
 		found.cost += crossRegionPenalty
 	}
-	if e.service.hasEngine() && !e.inSubset {
+	if e.service.hasEngine() && !slices.Contains(s.subset, e) {
 		found.cost += outsideSubsetCost
 	}
 	found.cost += p.healthPenalty(s, e)
--- a/serving/placement/service.go
+++ b/serving/placement/service.go
@@ -30,6 +30,7 @@
 	responseModel
 
 	pathCosts pathCosts
+	work      promptWork
 
 	// waitingUntil is, for each priority, how long a request of it waits for a slot.
 	waitingUntil [priorityLevels]time.Time
@@ -39,7 +40,7 @@
 type region struct {
 	name        string
 	endpoints   []*endpoint
-	subset      []*endpoint // those that this proxy prefers
+	subsets     map[partition][]*endpoint // those that this proxy prefers
 	owners      ownerCache
 	queueDelays [priorityLevels]decayingMean // of all the endpoints together
 }
@@ -102,6 +103,7 @@
 func (s *service) groupByRegion() {
 	for _, r := range s.regions {
 		r.endpoints = r.endpoints[:0]
+		clear(r.subsets)
 	}
 	s.pathCosts.tokenLimit = s.cacheTokens() / 2 * max(len(s.endpoints), 1)
 	suspects, all := 0, 0
--- a/serving/placement/snapshot.go
+++ b/serving/placement/snapshot.go
@@ -94,7 +94,6 @@
 	}
 	for _, s := range p.services {
 		s.groupByRegion()
-		p.selectSubsets(s)
 	}
 }
 
