--- a/serving/placement/candidates.go
+++ b/serving/placement/candidates.go
@@ -7,8 +7,6 @@
 	// owner, this proxy's subset and a random sample of sampleSize endpoints are.
 	maxFullScan = 24
 	sampleSize  = 6
-	// maxSampleDraws bounds the draws for a sample of a partition.
-	maxSampleDraws = 10 * sampleSize
 	// localSearchShare is the share of the latency target up to which the cost of the own region's best endpoint is
 	// accepted without comparing other regions.
 	localSearchShare = 0.25
@@ -26,9 +24,6 @@
 	ownRegionAllowed bool // the request may be served in this proxy's region
 	modelServed      bool // some endpoint announces the request's model
 	hasUntried       bool // some endpoint has not been tried for the request
-	shortPrompt      bool // the whole prompt is prefilled within a small share of the latency target
-
-	subset []*endpoint // of the region that is searched
 
 	prefixRegion *region // the one region whose owner caches the shared blocks; nil: each region has an owner
 	cacheLocally bool    // enough latency was paid for a remote owner: the own region's owner caches the blocks too
@@ -65,19 +60,12 @@
 	if s.prefixRegion != nil && s.prefixRegion.name != p.options.Region {
 		return false
 	}
-	return p.isFastEnough(s)
-}
-
-// isFastEnough reports whether the best endpoint so far needs no comparison with further ones.
-func (p *Picker) isFastEnough(s *candidateSearch) bool {
 	enough := time.Duration(localSearchShare * float64(s.request.Route.LatencyTarget))
 	return s.best.cost-s.best.firstByte < enough && s.best.queueDelay < enough
 }
 
 // searchRegion compares the endpoints of a region.
 func (p *Picker) searchRegion(s *candidateSearch, r *region) {
-	class := s.partitionOf(r)
-	s.subset = p.subsetOf(r, class)
 	owner := p.findPrefixOwner(s, r)
 	if len(r.endpoints) <= maxFullScan {
 		p.considerAll(s, r, owner)
@@ -86,32 +74,20 @@
 	if owner != nil {
 		p.considerEndpoint(s, owner, true)
 	}
-	for _, e := range s.subset {
+	for _, e := range r.subset {
 		if e != owner {
 			p.considerEndpoint(s, e, false)
 		}
 	}
-	p.considerSample(s, r, class, owner)
-	if s.best.endpoint == nil || class.shortSteps > 0 && !p.isFastEnough(s) {
-		p.considerSample(s, r, partition{}, owner)
+	for range sampleSize {
+		e := r.endpoints[int(p.random.Float64()*float64(len(r.endpoints)))]
+		p.considerEndpoint(s, e, e == owner)
 	}
 	if s.best.endpoint == nil {
 		p.considerAll(s, r, owner)
 	}
 }
 
-// considerSample compares some random endpoints of a partition.
-func (p *Picker) considerSample(s *candidateSearch, r *region, class partition, owner *endpoint) {
-	found := 0
-	for draws := 0; found < sampleSize && draws < maxSampleDraws; draws++ {
-		e := r.endpoints[int(p.random.Float64()*float64(len(r.endpoints)))]
-		if class.contains(e) {
-			found++
-			p.considerEndpoint(s, e, e == owner)
-		}
-	}
-}
-
 func (p *Picker) considerAll(s *candidateSearch, r *region, owner *endpoint) {
 	for _, e := range r.endpoints {
 		p.considerEndpoint(s, e, e == owner)
--- a/serving/placement/endpoint.go
+++ b/serving/placement/endpoint.go
@@ -26,6 +26,8 @@
 	excluded    bool   // evacuated, draining, terminated or replaced: nothing may be sent
 	replaced    bool   // another incarnation has responded at its address
 
+	inSubset bool // this proxy prefers it, see selectSubsets
+
 	window    float64   // concurrency window, in calls
 	halvedAt  time.Time // when the window was last halved
 	inFlight  int       // this proxy's calls
--- a/serving/placement/estimate.go
+++ b/serving/placement/estimate.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Costs that are added to the estimated time to first byte when endpoints are compared.
 const (
@@ -50,7 +47,7 @@
 	if e.region != p.options.Region && s.ownRegionAllowed {
 		found.cost += crossRegionPenalty
 	}
-	if e.service.hasEngine() && !slices.Contains(s.subset, e) {
+	if e.service.hasEngine() && !e.inSubset {
 		found.cost += outsideSubsetCost
 	}
 	found.cost += p.healthPenalty(s, e)
--- a/serving/placement/owner_cache.go
+++ b/serving/placement/owner_cache.go
@@ -10,7 +10,6 @@
 	prefix uint64
 	model  string // that the endpoints have to serve; empty: any
 	filter warmupFilter
-	class  partition
 }
 
 // rankedOwners is the first endpoints of a region in rendezvous order, the best first; nil: there are fewer.
--- a/serving/placement/pick.go
+++ b/serving/placement/pick.go
@@ -81,8 +81,6 @@
 			s.promptTokens += block.Tokens
 		}
 	}
-	prefill := float64(s.service.prefillTime(s.promptTokens))
-	s.shortPrompt = s.service.hasEngine() && prefill <= shortPrefillShare*float64(s.request.Route.LatencyTarget)
 	s.ownRegionAllowed = s.allowsRegion(p.options.Region)
 	s.modelServed = s.request.Model != "" && slices.ContainsFunc(s.service.endpoints, s.servesModel)
 	s.hasUntried = slices.ContainsFunc(s.service.endpoints, s.isUntried)
@@ -119,7 +117,6 @@
 		e.prefixCache.touch(&p.chain)
 		s.recordPathCost(p.chain.sharedPrefixHash())
 		e.service.recordUncachedTokens(best.uncachedTokens)
-		e.service.work.record(s, best.uncachedTokens)
 	}
 	return Choice{
 		Endpoint:          e.info,
--- a/serving/placement/prefix_owner.go
+++ b/serving/placement/prefix_owner.go
@@ -91,7 +91,7 @@
 // decides, so that they find the same order. It is computed once for each prefix, model and filter, and again when
 // something that it depends on has changed: the endpoints of a large region are too many to rank for each request.
 func (s *candidateSearch) rankOwners(prefix uint64, r *region, filter warmupFilter) [maxPrefixOwners]*endpoint {
-	key := ownerKey{prefix: prefix, filter: filter, class: s.partitionOf(r)}
+	key := ownerKey{prefix: prefix, filter: filter}
 	if s.modelServed {
 		key.model = s.request.Model
 	}
@@ -101,7 +101,7 @@
 	var order topRanked
 	var warmupEnd time.Time
 	for _, e := range r.endpoints {
-		if key.class.contains(e) && s.mayOwnPrefix(e, filter) {
+		if s.mayOwnPrefix(e, filter) {
 			order.add(e, mixHashes(prefix, e.hash))
 		}
 		if until := e.warmup.reportedUntil; until.After(s.now) && (warmupEnd.IsZero() || until.Before(warmupEnd)) {
--- a/serving/placement/service.go
+++ b/serving/placement/service.go
@@ -30,7 +30,6 @@
 	responseModel
 
 	pathCosts pathCosts
-	work      promptWork
 
 	// waitingUntil is, for each priority, how long a request of it waits for a slot.
 	waitingUntil [priorityLevels]time.Time
@@ -40,7 +39,7 @@
 type region struct {
 	name        string
 	endpoints   []*endpoint
-	subsets     map[partition][]*endpoint // those that this proxy prefers
+	subset      []*endpoint // those that this proxy prefers
 	owners      ownerCache
 	queueDelays [priorityLevels]decayingMean // of all the endpoints together
 }
@@ -103,7 +102,6 @@
 func (s *service) groupByRegion() {
 	for _, r := range s.regions {
 		r.endpoints = r.endpoints[:0]
-		clear(r.subsets)
 	}
 	s.pathCosts.tokenLimit = s.cacheTokens() / 2 * max(len(s.endpoints), 1)
 	suspects, all := 0, 0
--- a/serving/placement/snapshot.go
+++ b/serving/placement/snapshot.go
@@ -94,6 +94,7 @@
 	}
 	for _, s := range p.services {
 		s.groupByRegion()
+		p.selectSubsets(s)
 	}
 }
 
--- a/serving/placement/subset.go
+++ b/serving/placement/subset.go
@@ -17,28 +17,24 @@
 	outsideSubsetCost = 25 * time.Millisecond
 )
 
-// subsetOf returns this proxy's subset of a partition of a region.
-func (p *Picker) subsetOf(r *region, class partition) []*endpoint {
-	if subset, known := r.subsets[class]; known {
-		return subset
-	}
-	var order topRanked
-	for _, e := range r.endpoints {
-		if !e.excluded && class.contains(e) {
-			order.add(e, mixHashes(p.nameHash, e.hash))
+// selectSubsets determines which endpoints of a service are in this proxy's subsets.
+func (p *Picker) selectSubsets(s *service) {
+	for _, r := range s.regions {
+		var order topRanked
+		for _, e := range r.endpoints {
+			e.inSubset = false
+			if !e.excluded {
+				order.add(e, mixHashes(p.nameHash, e.hash))
+			}
 		}
-	}
-	var subset []*endpoint
-	for _, e := range order.endpoints[:subsetSize] {
-		if e != nil {
-			subset = append(subset, e)
+		r.subset = r.subset[:0]
+		for _, e := range order.endpoints[:subsetSize] {
+			if e != nil {
+				e.inSubset = true
+				r.subset = append(r.subset, e)
+			}
 		}
 	}
-	if r.subsets == nil {
-		r.subsets = map[partition][]*endpoint{}
-	}
-	r.subsets[class] = subset
-	return subset
 }
 
 // maxTopRanked is the capacity of topRanked.
