--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,8 +29,9 @@
 type caseFunc func(ctx context.Context, r *record, trouble bool) (violations []string, err error)
 
 var cases = map[string]caseFunc{
-	"signoff":  playSignOff,
-	"minority": playMinority,
+	"signoff":   playSignOff,
+	"minority":  playMinority,
+	"directory": playDirectory,
 }
 
 func main() {
