--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -147,10 +147,10 @@
 			e.setForward(parsed.ForwardTo)
 			return true
 		}
-		e.setForward("")
 		if ctx.Err() != nil {
-			return false
+			return false // the endpoint signs off meanwhile: the call was broken off, it didn't fail
 		}
+		e.setForward("")
 	}
 	return false
 }
