serving/membership: a member that is lost together with its watchers is detected in time

Cause: only a member's three watchers could notice its end. Where they died with it, nobody did until the ring had changed (ringRetention, 5 s after their own detection), and then the new watchers' timeouts began: once for each step of the chain. A single survivor never found out at all. The same silence made members disagree for good: a watcher that took the member for down by the word of others never issued its own suspicion, so that members that had missed those words took its silence for a sign of life.

Change: - Each member derives by itself when each other one was last known to be alive: by direct contact, or by the silence of a watcher that is itself known to be alive, less the time that its suspicion would have taken. Evidence of a dead member is never newer than its death, however many watchers are lost in a chain. Members without evidence are called, two times, and where a path may be lost by other members as well (the indirect probes of SWIM); those that respond to nobody are down. This bounds the time: 4.4 s until evidence is too old, 0.2 s to the next evaluation, the probes; less where all die at once. - A watcher suspects a member that has been marked as down meanwhile at once, and so does a new watcher while the member is on the ring. - A watcher calls a member whose heartbeat is overdue: one that has noticed a change of the ring later sends its heartbeats to others. - A zone that can't be reached takes only suspected members down with it. - A member that had removed all others as dead (frozen for minutes, all but one) now has to find them again when they wake with their old versions: it calls members that another one still has. Before, it had never taken them for down.

--- a/serving/gossip/expiry.go
+++ b/serving/gossip/expiry.go
@@ -73,8 +73,14 @@
 
 // ExpiredVersion returns the version with which a key left its table, as long as that is retained.
 func (e *Engine) ExpiredVersion(table TableID, key string) (Version, bool) {
+	expired, ok := e.ExpiredEntry(table, key)
+	return expired.Version, ok
+}
+
+// ExpiredEntry returns the entry with which a key left its table, as long as that is retained.
+func (e *Engine) ExpiredEntry(table TableID, key string) (Entry, bool) {
 	expired, ok := e.expired.byID[entryID{table: table, key: key}]
-	return expired.entry.Version, ok
+	return expired.entry, ok
 }
 
 // ExpiredHeaders returns the headers of those entries that have expired here.
--- a/serving/member/calls.go
+++ b/serving/member/calls.go
@@ -11,10 +11,13 @@
 // Limits of the calls to other members.
 const (
 	defaultTimeout  = 400 * time.Millisecond
-	bulkTimeout     = 2 * time.Second // for a call that carries more than bulkThreshold
-	bulkThreshold   = 64 << 10        // bytes
-	maxRoutineCalls = 12              // concurrent heartbeats and repairs
-	maxPushCalls    = 24              // concurrent pushes
+	relayedTimeout  = 700 * time.Millisecond  // for a heartbeat that another member has requested
+	relayTimeout    = 1100 * time.Millisecond // for such a request
+	bulkTimeout     = 2 * time.Second         // for a call that carries more than bulkThreshold
+	bulkThreshold   = 64 << 10                // bytes
+	maxRoutineCalls = 12                      // concurrent heartbeats and repairs
+	maxPushCalls    = 24                      // concurrent pushes
+	maxProbeCalls   = 192                     // concurrent probes of unconfirmed members
 	// pushRetryDelay is how long a push may have no response before its entries are sent by another path as well.
 	pushRetryDelay = 200 * time.Millisecond
 )
@@ -26,6 +29,7 @@
 	service      *Service
 	routineSlots chan struct{}
 	pushSlots    chan struct{}
+	probeSlots   chan struct{}
 }
 
 func newCaller(client *rpc.Client, service *Service) *caller {
@@ -34,6 +38,7 @@
 		service:      service,
 		routineSlots: make(chan struct{}, maxRoutineCalls),
 		pushSlots:    make(chan struct{}, maxPushCalls),
+		probeSlots:   make(chan struct{}, maxProbeCalls),
 	}
 }
 
@@ -41,7 +46,10 @@
 // push are retried by another path.
 func (c *caller) start(ctx context.Context, calls pendingCalls) {
 	for _, call := range calls.heartbeats {
-		startIfFree(c.routineSlots, func() { c.sendHeartbeat(ctx, call) })
+		startIfFree(c.routineSlots, func() { c.sendHeartbeat(ctx, call, (*node).processHeartbeatFailure) })
+	}
+	for _, call := range calls.probes {
+		c.startProbe(ctx, call)
 	}
 	for _, call := range calls.repairs {
 		started := startIfFree(c.routineSlots, func() { c.repair(ctx, call) })
@@ -78,12 +86,13 @@
 	return method.Call(ctx, c.client, address, request)
 }
 
-// sendHeartbeat sends a heartbeat and, where the watcher lacks it, the local member's entry.
-func (c *caller) sendHeartbeat(ctx context.Context, heartbeat heartbeatCall) {
+// sendHeartbeat sends a heartbeat and, where the receiver lacks it, the local member's entry. It reports a heartbeat
+// without a response by failed.
+func (c *caller) sendHeartbeat(ctx context.Context, heartbeat heartbeatCall, failed func(*node, time.Time, gossip.Peer)) {
 	response, err := call(ctx, c, defaultTimeout, heartbeatMethod, heartbeat.to.Address, &heartbeat.request)
 	if err != nil {
 		if ctx.Err() == nil {
-			c.service.run(func(now time.Time, n *node) { n.processHeartbeatFailure(now, heartbeat.to) })
+			c.service.run(func(now time.Time, n *node) { failed(n, now, heartbeat.to) })
 		}
 		return
 	}
@@ -96,6 +105,44 @@
 	}
 }
 
+// startProbe starts the calls of a probe. Those without a free slot are dropped, and reported so.
+func (c *caller) startProbe(ctx context.Context, probe probeCall) {
+	to := probe.heartbeat.to
+	if !startIfFree(c.probeSlots, func() { c.sendHeartbeat(ctx, probe.heartbeat, (*node).processProbeFailure) }) {
+		c.service.run(func(_ time.Time, n *node) { n.members.CancelProbe(to.Name) })
+	}
+	for _, relay := range probe.relays {
+		if !startIfFree(c.probeSlots, func() { c.requestProbe(ctx, relay, to) }) {
+			c.service.run(func(now time.Time, n *node) { n.processRelayedProbe(now, to.Name, false) })
+		}
+	}
+}
+
+// requestProbe requests another member to probe a member. One of a version without this call answers with an error.
+func (c *caller) requestProbe(ctx context.Context, relay, to gossip.Peer) {
+	request := probeRequest{Member: to.Name}
+	response, err := call(ctx, c, relayTimeout, probeMethod, relay.Address, &request)
+	responded := err == nil && response.Responded
+	if ctx.Err() == nil {
+		c.service.run(func(now time.Time, n *node) { n.processRelayedProbe(now, to.Name, responded) })
+	}
+}
+
+// relayProbe sends a heartbeat to a member that another member has requested to probe, and reports whether it has
+// responded.
+func (c *caller) relayProbe(ctx context.Context, request *probeRequest) (responded bool) {
+	heartbeat := query(c.service, func(_ time.Time, n *node) *heartbeatCall { return n.newRelayedHeartbeat(request) })
+	if heartbeat == nil {
+		return false
+	}
+	response, err := call(ctx, c, relayedTimeout, heartbeatMethod, heartbeat.to.Address, &heartbeat.request)
+	if err != nil {
+		return false
+	}
+	c.service.run(func(now time.Time, n *node) { n.processHeartbeatResponse(now, heartbeat.to.Name, response) })
+	return true
+}
+
 // markUnresponsive records that a peer didn't respond. A seed, of which only the address is known, has no name.
 func (c *caller) markUnresponsive(ctx context.Context, name string) {
 	if ctx.Err() != nil || name == "" {
--- a/serving/member/encoding_test.go
+++ b/serving/member/encoding_test.go
@@ -19,5 +19,7 @@
 		transferRequest{},
 		transferResponse{},
 		endpointState{},
+		probeRequest{},
+		probeResponse{},
 	)
 }
--- a/serving/member/handlers.go
+++ b/serving/member/handlers.go
@@ -15,6 +15,9 @@
 	heartbeatMethod.Serve(mux, func(_ context.Context, request *heartbeatRequest) (*heartbeatResponse, error) {
 		return respond(s, func(now time.Time, n *node) heartbeatResponse { return n.handleHeartbeat(now, request) })
 	})
+	probeMethod.Serve(mux, func(ctx context.Context, request *probeRequest) (*probeResponse, error) {
+		return &probeResponse{Responded: s.caller.relayProbe(ctx, request)}, nil
+	})
 	pushMethod.Serve(mux, func(_ context.Context, message *gossip.Message) (*pushResponse, error) {
 		return respond(s, func(now time.Time, n *node) pushResponse { return n.handlePush(now, *message) })
 	})
--- a/serving/member/messages.go
+++ b/serving/member/messages.go
@@ -13,6 +13,7 @@
 	heartbeatMethod = rpc.Method[heartbeatRequest, heartbeatResponse]{Procedure: "/rowanlink.mesh.v1/Heartbeat"}
 	pushMethod      = rpc.Method[gossip.Message, pushResponse]{Procedure: "/rowanlink.mesh.v1/Push"}
 	compareMethod   = rpc.Method[compareRequest, compareResponse]{Procedure: "/rowanlink.mesh.v1/Compare"}
+	probeMethod     = rpc.Method[probeRequest, probeResponse]{Procedure: "/rowanlink.mesh.v1/Probe"}
 	transferMethod  = rpc.Method[transferRequest, transferResponse]{Procedure: "/rowanlink.mesh.v1/Transfer"}
 )
 
@@ -28,6 +29,16 @@
 	DifferingTables []gossip.TableID        `cbor:"2,keyasint,omitempty"` // with other checksums at the receiver
 }
 
+// probeRequest requests the receiver to send a heartbeat to a member that doesn't respond to the sender.
+type probeRequest struct {
+	Member string `cbor:"1,keyasint"`
+}
+
+// probeResponse says whether the member has responded. One that the receiver doesn't know hasn't.
+type probeResponse struct {
+	Responded bool `cbor:"1,keyasint,omitempty"`
+}
+
 // pushResponse acknowledges a message: the receiver has stored its entries or has newer ones.
 type pushResponse struct {
 	Missing []gossip.Header `cbor:"1,keyasint,omitempty"` // the offered entries that the receiver requests
--- a/serving/member/node.go
+++ b/serving/member/node.go
@@ -25,6 +25,7 @@
 	schedule schedule
 
 	now             time.Time              // time of the current step
+	forgotten       map[string]gossip.Peer // members that others know and that were removed here
 	stalePeers      bool                   // the live members have changed since SetPeers
 	earlierSelf     *state.Member          // a newer version of the local member, of an earlier process
 	staleSuspicions []membership.Suspicion // of an earlier incarnation, to be withdrawn
@@ -40,6 +41,7 @@
 	downProbe      time.Time
 	downProbeCount int // of the members that the next probe calls
 	suspicionProbe time.Time
+	confirmProbe   time.Time
 	sizeLog        time.Time
 	loggedSize     int
 }
@@ -64,6 +66,7 @@
 		random:     options.random,
 		log:        options.log,
 		now:        now,
+		forgotten:  map[string]gossip.Peer{},
 		stalePeers: true,
 		engine: gossip.New(gossip.Options{
 			Name:        options.self.Name,
--- a/serving/member/requesthandling.go
+++ b/serving/member/requesthandling.go
@@ -63,6 +63,7 @@
 		n.expireEntries(request.Expired)
 		response.Entries = n.engine.CollectEntries(request.Missing)
 		response.Expired = n.engine.ExpiredHeaders(request.Entries)
+		n.recordForgotten(response.Expired)
 	})
 	return response
 }
--- a/serving/member/responses.go
+++ b/serving/member/responses.go
@@ -36,9 +36,15 @@
 	return n.processAck(now, response.Ack)
 }
 
+// markUnresponsive records that a member didn't respond to a call.
+func (n *node) markUnresponsive(now time.Time, name string) {
+	n.engine.MarkUnresponsive(now, name)
+	n.members.RecordNoResponse(now, name)
+}
+
 // processHeartbeatFailure records that a heartbeat had no response.
 func (n *node) processHeartbeatFailure(now time.Time, to gossip.Peer) {
-	n.engine.MarkUnresponsive(now, to.Name)
+	n.markUnresponsive(now, to.Name)
 	if to.Region != n.members.Self().Region {
 		n.schedule.retryRemote = true
 	}
@@ -50,17 +56,18 @@
 	response *compareResponse) (request transferRequest, needed bool) {
 	n.step(now, func() {
 		n.recordContact(from)
-		if n.members.IsDown(from) {
+		if n.members.IsDown(from) || n.isForgotten(from) {
 			n.scheduleFurtherDownProbes()
 		}
 	})
 	own := n.processAck(now, response.Ack)
 	comparison := n.engine.CompareBuckets(response.Buckets)
+	n.recordForgotten(comparison.Expired)
 	request = transferRequest{
 		From:    n.members.Self().Name,
 		Entries: comparison.Send,
 		Missing: comparison.Missing,
-		Ack:     n.members.RefutationNotice(from),
+		Ack:     n.refutationNotice(from),
 		Expired: comparison.Expired,
 	}
 	if own != nil && len(response.Buckets) == 0 {
--- a/serving/member/service.go
+++ b/serving/member/service.go
@@ -112,7 +112,7 @@
 
 // markUnresponsive records that a peer didn't respond to a call.
 func (s *Service) markUnresponsive(name string) {
-	s.run(func(now time.Time, n *node) { n.engine.MarkUnresponsive(now, name) })
+	s.run(func(now time.Time, n *node) { n.markUnresponsive(now, name) })
 }
 
 // wakeIfDue wakes the timer loop where something is due before its timer fires.
--- a/serving/member/simulation_calls_test.go
+++ b/serving/member/simulation_calls_test.go
@@ -85,7 +85,13 @@
 // startCalls simulates the calls that a node requests, as caller makes them on real machines.
 func (s *simulation) startCalls(n *simNode, calls pendingCalls) {
 	for _, heartbeat := range calls.heartbeats {
-		s.sendHeartbeat(n, heartbeat)
+		s.sendHeartbeat(n, heartbeat, (*node).processHeartbeatFailure)
+	}
+	for _, probe := range calls.probes {
+		s.sendHeartbeat(n, probe.heartbeat, (*node).processProbeFailure)
+		for _, relay := range probe.relays {
+			s.requestProbe(n, relay, probe.heartbeat.to)
+		}
 	}
 	for _, repair := range calls.repairs {
 		s.repair(n, repair)
@@ -111,7 +117,7 @@
 	return n.handleTransfer(now, &request)
 }
 
-func (s *simulation) sendHeartbeat(n *simNode, heartbeat heartbeatCall) {
+func (s *simulation) sendHeartbeat(n *simNode, heartbeat heartbeatCall, report func(*node, time.Time, gossip.Peer)) {
 	answered := func(response heartbeatResponse) {
 		own := n.node.processHeartbeatResponse(s.now, heartbeat.to.Name, &response)
 		if own == nil {
@@ -120,10 +126,46 @@
 		message := gossip.Message{From: n.member.Name, Entries: []gossip.Entry{*own}}
 		simCall(s, n, heartbeat.to.Address, defaultTimeout, message, servePush, func(pushResponse) {}, func() {})
 	}
-	failed := func() { n.node.processHeartbeatFailure(s.now, heartbeat.to) }
+	failed := func() { report(n.node, s.now, heartbeat.to) }
 	simCall(s, n, heartbeat.to.Address, defaultTimeout, heartbeat.request, serveHeartbeat, answered, failed)
 }
 
+// requestProbe simulates a request to a relay to probe a member. The relay's answer takes a call of its own.
+func (s *simulation) requestProbe(n *simNode, relay, to gossip.Peer) {
+	incarnation := n.incarnations
+	answered := false
+	answer := func(responded bool) {
+		s.whenNotFrozen(n, incarnation, func() {
+			if !answered {
+				answered = true
+				n.node.processRelayedProbe(s.now, to.Name, responded)
+			}
+		})
+	}
+	s.schedule(s.now.Add(relayTimeout), func() { answer(false) })
+	relayNode := s.nodes[slices.IndexFunc(s.nodes, func(n *simNode) bool { return n.member.Address == relay.Address })]
+	respond := func(responded bool) {
+		if s.transmit(relayNode, n, probeResponse{Responded: responded}) {
+			s.schedule(s.now.Add(s.drawDelay(relayNode, n)), func() { answer(responded) })
+		}
+	}
+	request := probeRequest{Member: to.Name}
+	serve := func(relaying *node, _ time.Time, request probeRequest) struct{} {
+		heartbeat := relaying.newRelayedHeartbeat(&request)
+		if heartbeat == nil {
+			respond(false)
+			return struct{}{}
+		}
+		succeeded := func(response heartbeatResponse) {
+			relaying.processHeartbeatResponse(s.now, heartbeat.to.Name, &response)
+			respond(true)
+		}
+		simCall(s, relayNode, to.Address, relayedTimeout, heartbeat.request, serveHeartbeat, succeeded, func() { respond(false) })
+		return struct{}{}
+	}
+	simCall(s, n, relay.Address, relayTimeout, request, serve, func(struct{}) {}, func() { answer(false) })
+}
+
 func (s *simulation) sendPush(n *simNode, envelope gossip.Envelope) {
 	retried, done := false, false
 	retry := func() {
@@ -135,7 +177,7 @@
 	incarnation := n.incarnations
 	s.schedule(s.now.Add(pushRetryDelay), func() { s.whenNotFrozen(n, incarnation, retry) })
 	failed := func() {
-		n.node.engine.MarkUnresponsive(s.now, envelope.To.Name)
+		n.node.markUnresponsive(s.now, envelope.To.Name)
 		retry()
 	}
 	succeeded := func(pushResponse) {
@@ -163,7 +205,7 @@
 	failed := func() {
 		finished()
 		if repair.to.Name != "" {
-			n.node.engine.MarkUnresponsive(s.now, repair.to.Name)
+			n.node.markUnresponsive(s.now, repair.to.Name)
 		}
 	}
 	answered := func(response compareResponse) {
--- a/serving/member/tick.go
+++ b/serving/member/tick.go
@@ -11,12 +11,8 @@
 
 // Intervals of a node's periodic actions.
 const (
-	downProbeInterval = time.Second // between two calls to members that are down
-	// maxDownProbes is the most members that are down that are called at once.
-	maxDownProbes          = 8
-	suspicionProbeInterval = 250 * time.Millisecond // between two rounds of probes of doubtful members and zones
-	sizeLogInterval        = time.Second            // least time between two log lines about the number of members
-	maxTickInterval        = membership.HeartbeatInterval
+	sizeLogInterval = time.Second // least time between two log lines about the number of members
+	maxTickInterval = membership.HeartbeatInterval
 )
 
 // heartbeatCall is a heartbeat to be sent.
@@ -25,6 +21,12 @@
 	request heartbeatRequest
 }
 
+// probeCall is a heartbeat to a member of whose life there is no evidence, and requests to other members to send it one.
+type probeCall struct {
+	heartbeat heartbeatCall
+	relays    []gossip.Peer
+}
+
 // repairCall is a repair to be made.
 type repairCall struct {
 	to      gossip.Peer // of a seed only the address is known
@@ -37,6 +39,7 @@
 	heartbeats []heartbeatCall
 	repairs    []repairCall
 	pushes     []gossip.Envelope
+	probes     []probeCall
 	next       time.Time // time of the next tick
 }
 
@@ -50,6 +53,7 @@
 		n.planRepair(&calls)
 		n.planDownProbe(&calls)
 		n.planSuspicionProbes(&calls)
+		n.planConfirmationProbes(&calls)
 		n.planSeed(&calls)
 		n.finishStep()
 		calls.pushes = n.engine.TakeOutgoing(now)
@@ -94,10 +98,10 @@
 }
 
 // heartbeatCalls returns the heartbeats to the watchers; to those in other regions only every RemoteIntervalFactor-th
-// interval.
+// interval. Members whose own heartbeat is overdue get one too, which they respond to.
 func (n *node) heartbeatCalls() (calls []heartbeatCall) {
 	self := n.members.Self()
-	request := heartbeatRequest{Heartbeat: n.ownHeartbeat(), Summary: n.engine.Summary()}
+	request := n.newHeartbeatRequest()
 	remote := n.schedule.heartbeatCount%membership.RemoteIntervalFactor == 0 || n.schedule.retryRemote
 	n.schedule.retryRemote = false
 	for _, watcher := range n.members.Watchers(self.Name) {
@@ -105,9 +109,17 @@
 			calls = append(calls, heartbeatCall{to: peerOf(watcher), request: request})
 		}
 	}
+	for _, member := range n.members.OverdueMembers(n.now) {
+		calls = append(calls, heartbeatCall{to: peerOf(member), request: request})
+	}
 	return calls
 }
 
+// newHeartbeatRequest returns the message that carries the local member's heartbeat.
+func (n *node) newHeartbeatRequest() heartbeatRequest {
+	return heartbeatRequest{Heartbeat: n.ownHeartbeat(), Summary: n.engine.Summary()}
+}
+
 // ownHeartbeat returns the local member's heartbeat.
 func (n *node) ownHeartbeat() membership.Heartbeat {
 	self := n.members.Self()
@@ -119,48 +131,6 @@
 	return compareRequest{Heartbeat: n.ownHeartbeat(), Digests: n.engine.Digest(tables)}
 }
 
-// planDownProbe requests a repair with random members that are down, so that the sides of a healed partition merge.
-func (n *node) planDownProbe(calls *pendingCalls) {
-	if n.now.Before(n.schedule.downProbe) {
-		return
-	}
-	n.schedule.downProbe = n.now.Add(downProbeInterval)
-	down := n.members.DownMembers()
-	if len(down) == 0 || n.members.Self().State == state.MemberLeft {
-		n.schedule.downProbeCount = 1
-		return
-	}
-	n.random.Shuffle(len(down), func(i, j int) { down[i], down[j] = down[j], down[i] })
-	for _, member := range down[:min(n.schedule.downProbeCount, len(down))] {
-		calls.repairs = append(calls.repairs, repairCall{to: peerOf(member), request: n.newCompareRequest(nil)})
-	}
-	n.schedule.downProbeCount = 1
-}
-
-// scheduleFurtherDownProbes makes the next probes of members that are down due at once, and more of them, after one has
-// responded: a partition has healed, and the others will respond too.
-func (n *node) scheduleFurtherDownProbes() {
-	n.schedule.downProbe = n.now
-	n.schedule.downProbeCount = min(n.schedule.downProbeCount+1, maxDownProbes)
-}
-
-// planSuspicionProbes requests a repair with the members that have to be probed before they are marked as down.
-func (n *node) planSuspicionProbes(calls *pendingCalls) {
-	if n.now.Before(n.schedule.suspicionProbe) || n.members.Self().State == state.MemberLeft {
-		return
-	}
-	if !n.members.HasMembersToProbe() {
-		return
-	}
-	n.schedule.suspicionProbe = n.now.Add(suspicionProbeInterval)
-	shuffle := func(members []state.Member) {
-		n.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	}
-	for _, member := range n.members.MembersToProbe(n.now, shuffle) {
-		calls.repairs = append(calls.repairs, repairCall{to: peerOf(member), request: n.newCompareRequest(nil)})
-	}
-}
-
 // planSeed requests a repair with a seed that is due, see seedSchedule.
 func (n *node) planSeed(calls *pendingCalls) {
 	if n.members.Self().State == state.MemberLeft || n.now.Before(n.seeds.due) {
@@ -228,9 +198,8 @@
 			next = due
 		}
 	}
-	probes := n.members.HasMembersToProbe() && n.members.Self().State != state.MemberLeft
-	if probes && n.schedule.suspicionProbe.Before(next) {
-		next = n.schedule.suspicionProbe
+	if n.members.Self().State != state.MemberLeft {
+		next = n.nextProbe(next)
 	}
 	joining := len(n.members.LiveMembers()) == 1 || n.now.Sub(n.seeds.since) < joinPeriod
 	if len(n.seeds.addresses) > 0 && n.seeds.due.Before(next) && joining {
--- a/serving/membership/evaluation.go
+++ b/serving/membership/evaluation.go
@@ -71,7 +71,7 @@
 		var more []string
 		for name := range set {
 			votes, voters := t.countVotes(name, suspecting[name], found)
-			needed := min(leastCertainVotes, len(t.cachedWatchers(name)))
+			needed := min(leastCertainVotes, len(t.watchersOf(name)))
 			if !found[name] && votes >= needed && 2*votes > voters {
 				more = append(more, name)
 			}
@@ -98,7 +98,8 @@
 
 // countVotes counts a member's live watchers that are not excluded, and of them those that suspect it.
 func (t *Table) countVotes(name string, suspecting []string, excluded map[string]bool) (votes, voters int) {
-	for _, watcher := range t.cachedWatchers(name) {
+	for _, link := range t.watchersOf(name) {
+		watcher := link.watcher
 		if excluded[watcher.member.Name] || !watcher.isLive() {
 			continue
 		}
@@ -109,16 +110,3 @@
 	}
 	return votes, voters
 }
-
-// cachedWatchers returns a member's watchers, which change only with the ring.
-func (t *Table) cachedWatchers(name string) []*trackedMember {
-	if watchers, ok := t.watchers[name]; ok {
-		return watchers
-	}
-	var watchers []*trackedMember
-	for _, watcher := range t.Watchers(name) {
-		watchers = append(watchers, t.members[watcher.Name])
-	}
-	t.watchers[name] = watchers
-	return watchers
-}
--- a/serving/membership/heartbeat.go
+++ b/serving/membership/heartbeat.go
@@ -1,6 +1,10 @@
 package membership
 
-import "time"
+import (
+	"time"
+
+	"rowanlink/serving/state"
+)
 
 // Heartbeat is the message by which a member shows its watchers that it is alive. It names the member's newest
 // version of itself, so that a watcher notices when it has missed an update.
@@ -21,7 +25,7 @@
 
 // watchedMember is what the local member, as a watcher, knows about one member.
 type watchedMember struct {
-	lastHeartbeat time.Time     // or when watching began
+	lastHeartbeat time.Time     // or other contact, or when watching began
 	lateness      time.Duration // by how much recent heartbeats came later than planned
 	suspected     bool
 	lastIssued    Suspicion // the last suspicion or withdrawal that was gossiped; zero: none yet
@@ -37,6 +41,19 @@
 	w.restart(now)
 }
 
+// OverdueMembers returns the live members that the local member watches and whose next heartbeat is overdue, by name.
+// The local member calls them before it suspects them: a member that hasn't noticed yet that its watchers have changed
+// sends its heartbeats to others, but responds.
+func (t *Table) OverdueMembers(now time.Time) []state.Member {
+	return t.membersWhere(func(tracked *trackedMember) bool {
+		watched := t.watched[tracked.member.Name]
+		if watched == nil || watched.suspected || !tracked.isLive() {
+			return false
+		}
+		return now.Sub(watched.lastHeartbeat) >= t.heartbeatInterval(tracked.member)+HeartbeatInterval/2
+	})
+}
+
 // ReceiveHeartbeat records a heartbeat and returns its response.
 func (t *Table) ReceiveHeartbeat(now time.Time, heartbeat Heartbeat) HeartbeatAck {
 	tracked, ok := t.members[heartbeat.Name]
--- a/serving/membership/partition.go
+++ b/serving/membership/partition.go
@@ -10,11 +10,12 @@
 // zoneProbePeriod is how long a zone is probed before it counts as unreachable.
 const zoneProbePeriod = 900 * time.Millisecond
 
-// evaluateZones marks all members of zones as down that the local zone can't reach any more. In a partitioned zone,
+// evaluateZones marks all suspected members of zones as down that the local zone can't reach any more. In a partitioned zone,
 // members elsewhere have watchers whose suspicions don't arrive there, and which count as voters all the same; some
 // members are watched by such watchers alone. So evaluateZones looks for a set of other zones from which no member
 // outside the set receives anything. The few members of a zone that are watched from outside may have died by
-// themselves: the zone is first suspect and its members are probed, see MembersToProbe. Any response clears it.
+// themselves: the zone is first suspect and its members are probed, see MembersToProbe. Any response clears it. A member that nobody suspects may be alive after the
+// loss of its watchers, and is left to evaluateConfirmations.
 func (t *Table) evaluateZones(now time.Time) {
 	unreachable := t.unreachableZones(now)
 	probed := true
@@ -33,8 +34,9 @@
 		t.needsEvaluation = true // with the next tick
 		return
 	}
+	suspecting := t.suspectingWatchers()
 	for _, member := range slices.Clone(t.LiveMembers()) {
-		if unreachable[member.Zone] {
+		if unreachable[member.Zone] && len(suspecting[member.Name]) > 0 {
 			t.markDown(now, t.members[member.Name])
 		}
 	}
@@ -89,6 +91,10 @@
 func (t *Table) RecordContact(now time.Time, name string) {
 	if tracked, ok := t.members[name]; ok {
 		tracked.lastContact = now
+		delete(t.unconfirmed, name)
+		if watched := t.watched[name]; watched != nil {
+			watched.restart(now)
+		}
 		t.lastContacts[tracked.member.Zone] = now
 	}
 }
@@ -112,7 +118,8 @@
 			continue
 		}
 		votes, voters := 0, 0
-		for _, watcher := range t.cachedWatchers(member.Name) {
+		for _, link := range t.watchersOf(member.Name) {
+			watcher := link.watcher
 			if !watcher.isLive() || unreachable[watcher.member.Zone] {
 				continue
 			}
--- a/serving/membership/ring.go
+++ b/serving/membership/ring.go
@@ -101,7 +101,7 @@
 	t.ringMembers = nil
 	t.watchedStale = true
 	t.needsEvaluation = true
-	clear(t.watchers)
+	t.linksStale = true
 }
 
 // Watchers returns the watchers of a member, selected from its successors on the ring: one in another zone of its
--- a/serving/membership/table.go
+++ b/serving/membership/table.go
@@ -47,13 +47,22 @@
 
 // trackedMember is a member with its state in the table.
 type trackedMember struct {
-	member       state.Member
-	ringPosition uint64
-	onRing       bool
-	remoteRank   uint64 // selects the zone of another region in which it is watched, see remoteZone
-	downSince    time.Time
-	lastLiveAt   time.Time // valid once the member is no longer live
-	lastContact  time.Time // when its last call or answer came; zero: never
+	member        state.Member
+	ringPosition  uint64
+	onRing        bool
+	remoteRank    uint64 // selects the zone of another region in which it is watched, see remoteZone
+	downSince     time.Time
+	lastLiveAt    time.Time // valid once the member is no longer live
+	lastContact   time.Time // when its last call or answer came; zero: never
+	noResponseAt  time.Time // when a call to it last had no response; zero: never
+	versionAt     time.Time // when its newest version came
+	liveSince     time.Time // of its incarnation, in this table
+	probedByOther time.Time // when it last responded to another member's probe
+	evidence      time.Time // when it was alive at the latest, as far as known, see collectEvidence
+	aliveAt       time.Time // the latest evidence that there has been
+	reachable     bool      // by a chain of watchers
+	watchers      []*watchLink
+	watching      []*watchLink // of which it is the watcher
 }
 
 // isLive reports whether the member is neither down nor departed.
@@ -71,16 +80,20 @@
 	forgotten       map[string]forgottenMember
 	suspicions      map[suspicionID]Suspicion
 	watched         map[string]*watchedMember
-	ringMembers     []*trackedMember            // by position; nil: to be rebuilt
-	liveMembers     []state.Member              // by name; nil: to be rebuilt
-	zones           []zoneLocation              // that have members on the ring, by name
-	watchedStale    bool                        // the ring has changed since updateWatched
-	needsEvaluation bool                        // suspicions, members or watchers have changed since the last evaluation
-	watchers        map[string][]*trackedMember // by member; a cache, valid until the ring changes
-	lastContacts    map[string]time.Time        // by zone: when the last call or answer came from it
-	suspectZones    map[string]time.Time        // by zone: since when it seems to be unreachable
-	doubtful        map[string]*doubt           // by name: members to be probed before they are marked as down
-	revision        uint64                      // of the last suspicion or withdrawal that was issued here
+	ringMembers     []*trackedMember     // by position; nil: to be rebuilt
+	liveMembers     []state.Member       // by name; nil: to be rebuilt
+	zones           []zoneLocation       // that have members on the ring, by name
+	watchedStale    bool                 // the ring has changed since updateWatched
+	needsEvaluation bool                 // suspicions, members or watchers have changed since the last evaluation
+	linksStale      bool                 // the ring has changed since updateWatchLinks
+	lastContacts    map[string]time.Time // by zone: when the last call or answer came from it
+	suspectZones    map[string]time.Time // by zone: since when it seems to be unreachable
+	doubtful        map[string]*doubt    // by name: members to be probed before they are marked as down
+	unconfirmed     map[string]*unconfirmedMember
+	confirmedAt     time.Time // of the last evaluateConfirmations
+	failureAt       time.Time // when a member was last suspected or marked as down
+	resumedAt       time.Time // after the last long pause between two ticks
+	revision        uint64    // of the last suspicion or withdrawal that was issued here
 	lastTick        time.Time
 	lateness        time.Duration // of this process with what it planned, see RecordDelay
 	refutedAt       time.Time
@@ -108,10 +121,10 @@
 		forgotten:    map[string]forgottenMember{},
 		suspicions:   map[suspicionID]Suspicion{},
 		watched:      map[string]*watchedMember{},
-		watchers:     map[string][]*trackedMember{},
 		lastContacts: map[string]time.Time{},
 		suspectZones: map[string]time.Time{},
 		doubtful:     map[string]*doubt{},
+		unconfirmed:  map[string]*unconfirmedMember{},
 		lastTick:     now,
 	}
 	t.MergeMember(now, options.Self)
@@ -148,7 +161,11 @@
 		delete(t.forgotten, member.Name)
 	}
 	wasLive := ok && tracked.isLive()
+	if !wasLive || tracked.member.Incarnation != member.Incarnation {
+		tracked.liveSince = now
+	}
 	tracked.member = member
+	tracked.versionAt = now
 	tracked.downSince = time.Time{}
 	t.liveMembers = nil
 	t.needsEvaluation = true
@@ -254,6 +271,7 @@
 func (t *Table) markDown(now time.Time, tracked *trackedMember) {
 	tracked.downSince = now
 	tracked.lastLiveAt = now
+	t.failureAt = now
 	t.liveMembers = nil
 	t.invalidateRing() // it stays on the ring, but the remoteRank of others may change
 	t.notify(Change{Member: tracked.member, Down: true})
@@ -274,6 +292,7 @@
 func (t *Table) remove(name string, tracked *trackedMember) {
 	delete(t.members, name)
 	delete(t.doubtful, name)
+	delete(t.unconfirmed, name)
 	t.invalidateRing()
 	t.forgotten[name] = forgottenMember{role: tracked.member.Role, lastLiveAt: tracked.lastLiveAt}
 }
--- a/serving/membership/tick.go
+++ b/serving/membership/tick.go
@@ -12,25 +12,28 @@
 // the names of the members that were removed. The caller ticks at least once in each HeartbeatInterval.
 func (t *Table) Tick(now time.Time) (suspicions []Suspicion, removed []string) {
 	if now.Sub(t.lastTick) > maxTickPause {
+		t.resumedAt = now
+		clear(t.unconfirmed)
 		for _, watched := range t.watched {
 			watched.restart(now)
 		}
 	}
 	t.lastTick = now
+	for _, name := range slices.Sorted(maps.Keys(t.watched)) {
+		suspicions = append(suspicions, t.checkWatched(now, name, t.watched[name])...)
+	}
 	t.removeDownFromRing(now)
 	if t.watchedStale {
 		t.watchedStale = false
 		t.updateWatched(now)
 	}
-	for _, name := range slices.Sorted(maps.Keys(t.watched)) {
-		suspicions = append(suspicions, t.checkWatched(now, name, t.watched[name])...)
-	}
 	removed = t.removeExpired(now)
 	if t.needsEvaluation {
 		t.needsEvaluation = false
 		t.evaluateSuspicions(now)
 		t.evaluateZones(now)
 	}
+	t.evaluateConfirmations(now)
 	return suspicions, removed
 }
 
@@ -39,7 +42,7 @@
 func (t *Table) NextTimeout() (next time.Time) {
 	for name, watched := range t.watched {
 		tracked, ok := t.members[name]
-		if !ok || watched.suspected || !tracked.isLive() {
+		if !ok || watched.suspected || isDeparted(tracked.member) {
 			continue
 		}
 		timeout := watched.lastHeartbeat.Add(t.suspicionTimeout(tracked.member, watched))
@@ -63,8 +66,13 @@
 		watched.suspected = false
 		return []Suspicion{t.issueSuspicion(watched, tracked.member, true)}
 	}
-	timeout := t.suspicionTimeout(tracked.member, watched)
-	if !tracked.isLive() || now.Sub(watched.lastHeartbeat) < timeout {
+	if isDeparted(tracked.member) {
+		return nil
+	}
+	// A member that was marked as down meanwhile is suspected at once: to those that still take it for live, its
+	// watcher's silence would be evidence, and the watcher may change with the ring.
+	isOverdue := now.Sub(watched.lastHeartbeat) >= t.suspicionTimeout(tracked.member, watched)
+	if tracked.isLive() && !isOverdue {
 		return nil
 	}
 	watched.suspected = true
@@ -102,10 +110,15 @@
 	if member.Region != t.Self().Region {
 		timeout = RemoteSuspicionTimeout
 	}
-	extension := localLatenessFactor*t.lateness + heartbeatLatenessFactor*watched.lateness
+	extension := t.timeoutExtension() + heartbeatLatenessFactor*watched.lateness
 	return timeout + min(extension, maxTimeoutExtension)
 }
 
+// timeoutExtension is by how much timeouts are longer because the local process is slow.
+func (t *Table) timeoutExtension() time.Duration {
+	return min(localLatenessFactor*t.lateness, maxTimeoutExtension)
+}
+
 // heartbeatInterval is the time between two heartbeats of a member to the local member.
 func (t *Table) heartbeatInterval(member state.Member) time.Duration {
 	if member.Region != t.Self().Region {
@@ -132,13 +145,10 @@
 // updateWatched begins to watch the members that the ring has assigned to the local member and stops watching others.
 // It goes on watching members that the local member suspects until they refute that or are removed.
 func (t *Table) updateWatched(now time.Time) {
+	t.updateWatchLinks()
 	assigned := map[string]bool{}
-	for name, tracked := range t.members {
-		if name == t.self || !tracked.isLive() && t.watched[name] == nil {
-			continue
-		}
-		isSelf := func(watcher state.Member) bool { return watcher.Name == t.self }
-		assigned[name] = slices.ContainsFunc(t.Watchers(name), isSelf)
+	for _, link := range t.members[t.self].watching {
+		assigned[link.member.member.Name] = true
 	}
 	for name, watched := range t.watched {
 		_, known := t.members[name]
@@ -146,8 +156,8 @@
 			delete(t.watched, name)
 		}
 	}
-	for name, isAssigned := range assigned {
-		if isAssigned && t.watched[name] == nil {
+	for name := range assigned {
+		if t.members[name].onRing && t.watched[name] == nil {
 			t.watched[name] = &watchedMember{lastHeartbeat: now}
 		}
 	}
