--- a/serving/member/node.go
+++ b/serving/member/node.go
@@ -92,7 +92,11 @@
 	if !change.Live {
 		kind = event.MemberDown
 	}
-	kind.Log(n.log).Str("member", change.Member.Name).Uint64("incarnation", change.Member.Incarnation).Send()
+	entry := kind.Log(n.log).Str("member", change.Member.Name).Uint64("incarnation", change.Member.Incarnation)
+	if change.Down {
+		entry = entry.Stringer("reason", change.Reason)
+	}
+	entry.Send()
 }
 
 // step executes one action and then finishStep.
--- a/serving/membership/confirmation.go
+++ b/serving/membership/confirmation.go
@@ -45,7 +45,7 @@
 	for _, name := range slices.Sorted(maps.Keys(t.unconfirmed)) {
 		if t.isUnresponsive(now, name) {
 			delete(t.unconfirmed, name)
-			t.markDown(now, t.members[name])
+			t.markDownFor(now, t.members[name], UnwatchedAndSilent)
 		}
 	}
 }
--- a/serving/membership/doubt.go
+++ b/serving/membership/doubt.go
@@ -45,7 +45,7 @@
 	for _, name := range slices.Sorted(maps.Keys(t.greatestSuspectedSet(unheard))) {
 		if t.doubtful[name] != nil && t.isDoubtSettled(now, name) {
 			delete(t.doubtful, name)
-			t.markDown(now, t.members[name])
+			t.markDownFor(now, t.members[name], SuspectedAndSilent)
 		}
 	}
 }
--- a/serving/membership/partition.go
+++ b/serving/membership/partition.go
@@ -37,7 +37,7 @@
 	suspecting := t.suspectingWatchers()
 	for _, member := range slices.Clone(t.LiveMembers()) {
 		if unreachable[member.Zone] && len(suspecting[member.Name]) > 0 {
-			t.markDown(now, t.members[member.Name])
+			t.markDownFor(now, t.members[member.Name], ZoneUnreachable)
 		}
 	}
 	clear(t.suspectZones)
--- a/serving/membership/table.go
+++ b/serving/membership/table.go
@@ -111,6 +111,7 @@
 	Member state.Member
 	Live   bool
 	Down   bool
+	Reason DownReason // if Down
 }
 
 // New returns a table with the local member alone.
@@ -267,14 +268,19 @@
 	return tracked.downSince, true
 }
 
-// markDown marks a member as down.
+// markDown marks a member as down that most of its watchers suspect.
 func (t *Table) markDown(now time.Time, tracked *trackedMember) {
+	t.markDownFor(now, tracked, SuspectedByWatchers)
+}
+
+// markDownFor marks a member as down.
+func (t *Table) markDownFor(now time.Time, tracked *trackedMember, reason DownReason) {
 	tracked.downSince = now
 	tracked.lastLiveAt = now
 	t.failureAt = now
 	t.liveMembers = nil
 	t.invalidateRing() // it stays on the ring, but the remoteRank of others may change
-	t.notify(Change{Member: tracked.member, Down: true})
+	t.notify(Change{Member: tracked.member, Down: true, Reason: reason})
 }
 
 // RemoveTerminated removes a member that is down or has left before its RetentionPeriod is over. It returns false where
