webhook/dispatcher/e2e: the dispatcher's address stays reserved while the test's servers start

Cause: freeAddress closed its listener before the test's own platform server asked for any free port, and that server got the same one; it answers a watch so. reserveAddress keeps the port bound (test/fake/portalloc) until the test ends. The checks are unchanged.

--- a/webhook/dispatcher/e2e/helpers_test.go
+++ b/webhook/dispatcher/e2e/helpers_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"rowanlink/test/fake/portalloc"
 	"rowanlink/test/procstate"
 )
 
@@ -109,7 +110,7 @@
 // startEnvironment starts a dispatcher for webhooks of the delivery semantics given, with destination 3 at one endpoint.
 func startEnvironment(t *testing.T, semantics string) *environment {
 	t.Helper()
-	env := &environment{t: t, dir: t.TempDir(), listen: freeAddress(t)}
+	env := &environment{t: t, dir: t.TempDir(), listen: reserveAddress(t)}
 	env.endpoint = env.startServer(env.handleEvent)
 	env.platform = env.startServer(env.handlePlatform)
 	env.initialList = env.endpointList("SERVING")
@@ -153,11 +154,14 @@
 	return listener
 }
 
-func freeAddress(t *testing.T) string {
+// reserveAddress returns an address for the dispatcher to listen on. It stays reserved until the test ends, so that none
+// of the test's own servers gets it meanwhile.
+func reserveAddress(t *testing.T) string {
 	t.Helper()
-	listener := listenOnLoopback(t)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	port, err := portalloc.Reserve()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = port.Close() })
+	return port.Addr
 }
 
 // startServer serves handler until the test ends and returns the server's address.
