serving/member: test of a relayed probe between real members

A member asked for a probe calls a member that runs, one that has ended and one that it doesn't know, and says which responded.

--- a/serving/member/service_test.go
+++ b/serving/member/service_test.go
@@ -137,3 +137,19 @@
 	require.NoError(t, all[0].service.Leave(ctx))
 	waitForEntries(t, all[4].service, gossip.TableMembers, func() bool { return len(all[4].service.Members()) == 4 })
 }
+
+// TestService_RelaysProbes has a member probe another one, a member that has ended, and one that it doesn't know.
+func TestService_RelaysProbes(t *testing.T) {
+	port := freePort(t)
+	relay := startProcess(t, port, 1, state.RoleCore)
+	others := []*testProcess{startProcess(t, port, 2, state.RoleCore), startProcess(t, port, 3, state.RoleAgent)}
+	waitForEntries(t, relay.service, gossip.TableMembers, func() bool { return len(relay.service.Members()) == 3 })
+	others[1].stop()
+	for name, responds := range map[string]bool{"member-2": true, "member-3": false, "unknown": false} {
+		ctx, cancel := context.WithTimeout(t.Context(), relayTimeout)
+		response, err := probeMethod.Call(ctx, others[0].client, relay.service.Self().Address, &probeRequest{Member: name})
+		cancel()
+		require.NoError(t, err)
+		assert.Equal(t, responds, response.Responded, name)
+	}
+}
