serving: an endpoint's end is acknowledged once a majority has it on disk

Cause: the majority that a sign-off or a `closing` heartbeat waits for had it in memory only. The copy on disk was saved once a second, and without departed endpoints at all. After the restart the agents handed their older entry, `accepting`, back, and only the missing heartbeats ended it.

Change: pushes may ask for durability (`Durable`, field 5 of gossip.Message; members without it answer as before). PutReplicated sends a departure to all voters and counts copies on disk, its own among them. A start publishes them before anything else, and reads a disk that fails again until it works: before, the first save would have erased the file.

Changed assertions: departed endpoints stay on disk (they were removed from it), a failing disk is read again (it was given up), and the targets of a replication are compared whole.

--- /dev/null
+++ b/serving/core/departures.go
@@ -0,0 +1,88 @@
+package core
+
+import (
+	"time"
+
+	"rowanlink/serving/endpoints"
+	"rowanlink/serving/state"
+)
+
+const (
+	// departureRetention is how long a departed endpoint stays on disk: as long as members that run retain it, so that
+	// a member that was cut off can't bring it back after a restart of the others either.
+	departureRetention = 20 * time.Minute
+	// minDepartureRetention is how long it stays there however many there are.
+	minDepartureRetention = time.Minute
+	// maxRetainedDepartures is the number of departures beyond which the oldest are dropped after
+	// minDepartureRetention.
+	maxRetainedDepartures = 8192
+)
+
+// departures holds the endpoints that accept no new requests, as they are on disk or have to be. A table of endpoints
+// may lag behind it, and drops departed endpoints earlier. It is not safe for concurrent use.
+type departures struct{ byID map[string]departure }
+
+// departure is an endpoint that is draining or has departed.
+type departure struct {
+	endpoint   state.Endpoint
+	departedAt time.Time // by the clock of this process; zero while it is draining
+}
+
+func newDepartures() departures { return departures{byID: map[string]departure{}} }
+
+// isNewer reports whether an endpoint is newer than the departure with its ID, or there is none.
+func (d *departures) isNewer(endpoint state.Endpoint) bool {
+	known, exists := d.byID[endpoint.ID]
+	return !exists || endpoints.VersionOf(known.endpoint).Less(endpoints.VersionOf(endpoint))
+}
+
+// record records the state of an endpoint and returns the newest known one.
+func (d *departures) record(now time.Time, endpoint state.Endpoint) state.Endpoint {
+	if !d.isNewer(endpoint) {
+		return d.byID[endpoint.ID].endpoint
+	}
+	switch endpoint.State {
+	case state.EndpointAccepting:
+		delete(d.byID, endpoint.ID)
+	case state.EndpointDraining:
+		d.byID[endpoint.ID] = departure{endpoint: endpoint}
+	case state.EndpointDeparted:
+		endpoint.Models = nil
+		d.byID[endpoint.ID] = departure{endpoint: endpoint, departedAt: now}
+	}
+	return endpoint
+}
+
+// contains reports whether the endpoint with an ID is known to accept no new requests.
+func (d *departures) contains(id string) bool {
+	_, exists := d.byID[id]
+	return exists
+}
+
+// all returns all endpoints, in no order.
+func (d *departures) all() []state.Endpoint {
+	list := make([]state.Endpoint, 0, len(d.byID))
+	for _, known := range d.byID {
+		list = append(list, known.endpoint)
+	}
+	return list
+}
+
+// removeExpired removes the departed endpoints that need no longer be on disk, and returns their IDs.
+func (d *departures) removeExpired(now time.Time) (removed []string) {
+	surplus := len(d.byID) - maxRetainedDepartures
+	for id, known := range d.byID {
+		if known.departedAt.IsZero() {
+			continue
+		}
+		age := now.Sub(known.departedAt)
+		isSurplus := surplus > 0 && age > minDepartureRetention
+		if age <= departureRetention && !isSurplus {
+			continue
+		}
+		surplus--
+		delete(d.byID, id)
+		removed = append(removed, id)
+	}
+	return removed
+}
--- /dev/null
+++ b/serving/core/departures_test.go
@@ -0,0 +1,123 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rowanlink/serving/endpoints"
+	"rowanlink/serving/errcode"
+	"rowanlink/serving/state"
+	"rowanlink/serving/store"
+)
+
+// slowStore is a store whose disk needs a time for each transaction.
+type slowStore struct {
+	fakeEndpointStore
+	syncTime time.Duration
+}
+
+func (s *slowStore) Save(changes store.EndpointChanges) error {
+	time.Sleep(s.syncTime)
+	return s.fakeEndpointStore.Save(changes)
+}
+
+// runSaver runs a saver of a table until the test ends. It must be called within a bubble of synctest.
+func runSaver(t *testing.T, saved endpointStore, table endpointSource, earlier []state.Endpoint) *endpointSaver {
+	t.Helper()
+	log := zerolog.Nop()
+	s := newEndpointSaver(saved, &log)
+	go s.run(t.Context())
+	s.startPeriodicSaves(table, earlier)
+	return s
+}
+
+// TestEndpointSaver_DepartureOutlivesOlderStates guards against a departure that an older state of the table, a
+// snapshot or the end of the table's tombstone removes from the disk.
+func TestEndpointSaver_DepartureOutlivesOlderStates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := endpoints.Start(endpoints.Options{Self: "m", HeartbeatInterval: time.Second}, time.Now)
+		defer table.Stop()
+		saved := savedEndpoints()
+		s := runSaver(t, saved, table, []state.Endpoint{savedEndpoint("earlier", "n", state.EndpointDeparted)})
+		table.ReceiveHeartbeat("e", endpoints.Heartbeat{Service: "plain", Address: "e:80", Sequence: 6})
+		require.NoError(t, s.persist(t.Context(), []state.Endpoint{savedEndpoint("e", "m", state.EndpointDraining)}))
+		assert.Equal(t, state.EndpointDraining, saved.saved["e"].State, "it is on disk before it is acknowledged")
+		time.Sleep(2 * saveInterval)
+		assert.Equal(t, state.EndpointDraining, saved.saved["e"].State, "the table has an older state")
+		assert.Contains(t, saved.saved, "earlier", "a snapshot of the table lacks it")
+
+		table.Deregister("e")
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, state.EndpointDeparted, saved.saved["e"].State, "the table has dropped it")
+		time.Sleep(departureRetention)
+		assert.Empty(t, saved.saved)
+	})
+}
+
+// TestEndpointSaver_PersistFailsWithTheDisk guards against an acknowledgement by a disk that fails or is stalled.
+func TestEndpointSaver_PersistFailsWithTheDisk(t *testing.T) {
+	departed := []state.Endpoint{savedEndpoint("e", "m", state.EndpointDeparted)}
+	for _, test := range []struct {
+		name  string
+		store *slowStore
+	}{
+		{"full", &slowStore{fakeEndpointStore: fakeEndpointStore{failAt: 1}}},
+		{"stalled", &slowStore{syncTime: time.Minute}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := zerolog.Nop()
+				s := newEndpointSaver(test.store, &log)
+				go s.run(t.Context())
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				assert.True(t, errcode.NotPersisted.Is(s.persist(ctx, departed)))
+				time.Sleep(2 * time.Minute)
+				assert.NoError(t, s.persist(t.Context(), departed), "it works again")
+			})
+		})
+	}
+}
+
+// TestEndpointSaver_ConcurrentDeparturesShareTransactions: 1,000 departures within a second on a disk that needs 20 ms
+// for a transaction are acknowledged within a tenth of a second each.
+func TestEndpointSaver_ConcurrentDeparturesShareTransactions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := zerolog.Nop()
+		saved := &slowStore{syncTime: 20 * time.Millisecond}
+		s := newEndpointSaver(saved, &log)
+		go s.run(t.Context())
+		var calls sync.WaitGroup
+		for i := range 1000 {
+			calls.Go(func() {
+				begun := time.Now()
+				departed := savedEndpoint(fmt.Sprint("e", i), "m", state.EndpointDeparted)
+				assert.NoError(t, s.persist(t.Context(), []state.Endpoint{departed}))
+				assert.Less(t, time.Since(begun), 100*time.Millisecond)
+			})
+			time.Sleep(time.Millisecond)
+		}
+		calls.Wait()
+		assert.Len(t, saved.saved, 1000)
+	})
+}
+
+// TestDepartures_Bounded: the oldest departures are dropped early where there are very many.
+func TestDepartures_Bounded(t *testing.T) {
+	d := newDepartures()
+	start := time.Unix(0, 0)
+	for i := range maxRetainedDepartures + 5 {
+		d.record(start, savedEndpoint(fmt.Sprint("e", i), "m", state.EndpointDeparted))
+	}
+	assert.Empty(t, d.removeExpired(start.Add(minDepartureRetention)))
+	assert.Len(t, d.removeExpired(start.Add(minDepartureRetention+1)), 5)
+	assert.Len(t, d.removeExpired(start.Add(departureRetention+1)), maxRetainedDepartures)
+}
--- a/serving/core/endpointrestorer.go
+++ b/serving/core/endpointrestorer.go
@@ -18,6 +18,8 @@
 	// that are running have sent heartbeats.
 	recordTimeout      = 2 * time.Second
 	recordPollInterval = 20 * time.Millisecond
+	// loadRetryInterval is the time between two attempts to read the saved endpoints.
+	loadRetryInterval = 500 * time.Millisecond
 	// maxConcurrentHealthChecks bounds the health checks in flight.
 	maxConcurrentHealthChecks = 16
 )
@@ -28,9 +30,10 @@
 	Restore(saved state.Endpoint) bool
 }
 
-// endpointRestorer restores saved endpoints after a start that found no other member with them. The copy on disk may be
-// out of date, so each endpoint is first checked: whether it is running under the same ID, and how long it still warms
-// up. Endpoints that have sent a heartbeat or that other members know are left out.
+// endpointRestorer restores saved endpoints after a start. Those that accept no new requests are published at once: that
+// was acknowledged, and other members may still have an older state. The copy on disk of all others may be out of date,
+// so each is first checked: whether it is running under the same ID, and how long it still warms up. Endpoints that have
+// sent a heartbeat or that other members know are left out.
 type endpointRestorer struct {
 	self    string // name of the member
 	store   endpointStore
@@ -41,29 +44,59 @@
 	log     *zerolog.Logger
 }
 
-// run restores the endpoints once.
-func (r *endpointRestorer) run(ctx context.Context) {
-	saved, err := r.store.Load()
-	if err != nil {
-		event.EndpointStoreFailed.Log(r.log).Err(err).Send()
-		return
-	}
-	if len(saved) == 0 {
-		return
+// run restores the endpoints once, and returns those that were saved.
+func (r *endpointRestorer) run(ctx context.Context) (saved []state.Endpoint) {
+	saved, loaded := r.load(ctx)
+	if !loaded || len(saved) == 0 {
+		return nil
 	}
+	departed := r.publishDepartures(saved)
 	routes := r.awaitRouting(ctx)
 	if routes == nil {
-		return
+		return saved
 	}
 	missing := r.selectMissing(saved)
 	restored := r.restoreConfirmed(ctx, missing, routes)
-	if len(missing) > 0 {
+	if len(missing) > 0 || departed > 0 {
 		event.EndpointsRestored.Log(r.log).
 			Int("saved", len(saved)).
+			Int("departed", departed).
 			Int("checked", len(missing)).
 			Int("restored", restored).
 			Send()
 	}
+	return saved
+}
+
+// load reads the saved endpoints. While the disk fails it tries again; it returns false if ctx ends before.
+func (r *endpointRestorer) load(ctx context.Context) ([]state.Endpoint, bool) {
+	ticker := time.NewTicker(loadRetryInterval)
+	defer ticker.Stop()
+	for logged := false; ; logged = true {
+		saved, err := r.store.Load()
+		if err == nil {
+			return saved, true
+		}
+		if !logged {
+			event.EndpointStoreFailed.Log(r.log).Err(err).Send()
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
+// publishDepartures publishes the saved endpoints that accept no new requests, and returns their number.
+func (r *endpointRestorer) publishDepartures(saved []state.Endpoint) (published int) {
+	for _, endpoint := range saved {
+		if endpoint.State != state.EndpointAccepting {
+			r.publish(endpoint)
+			published++
+		}
+	}
+	return published
 }
 
 // awaitRouting returns the present routing, nil if there is none or no record is known within recordTimeout.
@@ -101,7 +134,7 @@
 }
 
 // selectMissing returns the saved endpoints whose heartbeats this member received, that took requests, and that aren't
-// in the table. A draining endpoint has probably ended since.
+// in the table.
 func (r *endpointRestorer) selectMissing(saved []state.Endpoint) (missing []state.Endpoint) {
 	delta, _ := r.table.ChangesSince(0)
 	known := make(map[string]bool, len(delta.Changed))
--- a/serving/core/endpoints_test.go
+++ b/serving/core/endpoints_test.go
@@ -155,7 +155,7 @@
 	f := newRestorerFixture(t, saved, table)
 	f.run(t.Context())
 	assert.ElementsMatch(t, []string{"live/health", "dead/health"}, f.checked)
-	assert.Equal(t, []string{"live"}, f.published)
+	assert.Equal(t, []string{"draining", "live"}, f.published)
 	var known []string
 	for _, endpoint := range table.Live() {
 		known = append(known, endpoint.ID)
@@ -166,12 +166,17 @@
 	assert.Equal(t, []string{"heartbeat", "live"}, known)
 }
 
+// TestEndpointRestorer_FailingDisk: a disk that fails at the start is read again, else departures would be lost.
 func TestEndpointRestorer_FailingDisk(t *testing.T) {
-	saved := savedEndpoints(savedEndpoint("live", "m", state.EndpointAccepting))
+	saved := savedEndpoints(
+		savedEndpoint("live", "m", state.EndpointAccepting),
+		savedEndpoint("gone", "n", state.EndpointDeparted),
+	)
 	saved.failAt = 1
 	f := newRestorerFixture(t, saved, newTable(t))
 	f.run(t.Context())
-	assert.Empty(t, f.checked)
+	assert.Equal(t, []string{"live/health"}, f.checked)
+	assert.Equal(t, []string{"gone", "live"}, f.published)
 }
 
 func TestEndpointRestorer_TimesOutWithoutRecord(t *testing.T) {
@@ -194,7 +199,8 @@
 		table := newTable(t)
 		saved := &fakeEndpointStore{failAt: point}
 		log := zerolog.Nop()
-		s := &endpointSaver{table: table, store: saved, log: &log}
+		s := newEndpointSaver(saved, &log)
+		s.table = table
 		sendHeartbeat := func(id string, sequence uint64, draining bool) {
 			table.ReceiveHeartbeat(id, endpoints.Heartbeat{
 				Service:  "plain",
@@ -215,7 +221,8 @@
 		sendHeartbeat("c", 1, false)
 		s.save()
 		s.save()
-		assert.Len(t, saved.saved, 2, "point %d", point)
+		assert.Len(t, saved.saved, 3, "point %d", point)
+		assert.Equal(t, state.EndpointDeparted, saved.saved["a"].State, "point %d", point)
 		assert.Contains(t, saved.saved, "b")
 		assert.Contains(t, saved.saved, "c")
 		calls := saved.calls
--- a/serving/core/run.go
+++ b/serving/core/run.go
@@ -156,20 +156,24 @@
 func (c *coreProcess) startEndpoints(lifetime context.Context) {
 	process := c.options.Settings
 	c.quorum = &quorum.Checker{Voters: c.node, Self: process.InternalAddress(), IsLive: c.members.IsLiveAt}
+	endpointStore := store.OpenEndpointStore(process.StoreDir, c.options.Log)
+	c.onClose(endpointStore.Close)
+	saver := newEndpointSaver(endpointStore, c.options.Log)
 	c.endpoints = exchange.Start(lifetime, exchange.Options{
 		Gossip:            c.members,
 		HeartbeatInterval: process.HeartbeatInterval,
 		HasQuorum:         c.quorum.HasQuorum,
+		Persist:           saver.persist,
 		Log:               c.options.Log,
 	})
 	c.endpoints.Serve(c.inner)
-	endpointStore := store.OpenEndpointStore(process.StoreDir, c.options.Log)
-	c.onClose(endpointStore.Close)
-	go c.persistEndpoints(lifetime, endpointStore)
+	c.members.SetPersister(c.endpoints.PersistEntries)
+	go saver.run(lifetime)
+	go c.restoreEndpoints(lifetime, endpointStore, saver)
 }
 
-// persistEndpoints restores the endpoints that were saved, and then saves the changes.
-func (c *coreProcess) persistEndpoints(ctx context.Context, endpointStore *store.EndpointStore) {
+// restoreEndpoints restores the endpoints that were saved, and then has the changes of the table saved.
+func (c *coreProcess) restoreEndpoints(ctx context.Context, endpointStore *store.EndpointStore, saver *endpointSaver) {
 	restorer := &endpointRestorer{
 		self:    c.options.Settings.NodeName,
 		store:   endpointStore,
@@ -179,9 +183,8 @@
 		check:   newHealthChecker().check,
 		log:     c.options.Log,
 	}
-	restorer.run(ctx)
-	saver := &endpointSaver{table: c.endpoints.Table(), store: endpointStore, log: c.options.Log}
-	saver.run(ctx)
+	saved := restorer.run(ctx)
+	saver.startPeriodicSaves(c.endpoints.Table(), saved)
 }
 
 // controlHandler returns the handler of calls of operators and endpoints.
--- a/serving/endpoints/exchange/exchange.go
+++ b/serving/endpoints/exchange/exchange.go
@@ -26,7 +26,7 @@
 // Gossip is the part of member.Service that an exchange uses.
 type Gossip interface {
 	Put(entry gossip.Entry)
-	PutReplicated(ctx context.Context, entry gossip.Entry, addresses []string, copies int) error
+	PushDurable(ctx context.Context, address string, entries []gossip.Entry) error
 	Subscribe(table gossip.TableID, call func(gossip.Entry))
 	Members() []state.Member // those that are live
 	Self() state.Member
@@ -35,9 +35,11 @@
 
 // Exchange is a table of endpoints that is connected with the other members. It is safe for concurrent use.
 type Exchange struct {
-	gossip Gossip
-	table  *endpoints.SharedTable
-	log    *zerolog.Logger
+	gossip   Gossip
+	table    *endpoints.SharedTable
+	persist  func(ctx context.Context, list []state.Endpoint) error
+	replicas *replicaSender
+	log      *zerolog.Logger
 }
 
 // Options configures an Exchange.
@@ -46,7 +48,9 @@
 	HeartbeatInterval time.Duration // between two heartbeats of an endpoint
 	// HasQuorum reports whether this member has contact with a majority of the voters.
 	HasQuorum func() bool
-	Log       *zerolog.Logger
+	// Persist saves endpoints on the local disk and returns once they would survive a loss of power.
+	Persist func(ctx context.Context, list []state.Endpoint) error
+	Log     *zerolog.Logger
 }
 
 // Start returns an exchange that runs until ctx ends.
@@ -58,9 +62,11 @@
 		IsResponsibleFor:  newResponsibility(members, options.HasQuorum),
 	}
 	x := &Exchange{
-		gossip: members,
-		table:  endpoints.Start(tableOptions, time.Now),
-		log:    options.Log,
+		gossip:   members,
+		table:    endpoints.Start(tableOptions, time.Now),
+		persist:  options.Persist,
+		replicas: newReplicaSender(members.PushDurable),
+		log:      options.Log,
 	}
 	members.Subscribe(gossip.TableEndpoints, x.merge)
 	go x.run(ctx)
@@ -116,16 +122,6 @@
 	x.gossip.Put(entry)
 }
 
-// PutReplicated gossips an endpoint and returns when as many of the members at the addresses as copies have stored it.
-// The errors are those of member.Service.
-func (x *Exchange) PutReplicated(ctx context.Context, endpoint state.Endpoint, addresses []string, copies int) error {
-	entry, err := encodeEntry(endpoint)
-	if err != nil {
-		return err
-	}
-	return x.gossip.PutReplicated(ctx, entry, addresses, copies)
-}
-
 // encodeEntry returns an endpoint as a gossip entry.
 func encodeEntry(endpoint state.Endpoint) (gossip.Entry, error) {
 	value, err := endpoints.Encode(endpoint)
--- a/serving/endpoints/exchange/exchange_test.go
+++ b/serving/endpoints/exchange/exchange_test.go
@@ -32,6 +32,7 @@
 	live        []state.Member
 	holdsRole   bool
 	subscriber  func(gossip.Entry)
+	pushDurable func(ctx context.Context, address string, entries []gossip.Entry) error
 
 	mutex sync.Mutex
 	put   []gossip.Entry
@@ -51,9 +52,8 @@
 	f.subscriber(entry)
 }
 
-func (f *fakeGossip) PutReplicated(_ context.Context, entry gossip.Entry, _ []string, _ int) error {
-	f.Put(entry)
-	return nil
+func (f *fakeGossip) PushDurable(ctx context.Context, address string, entries []gossip.Entry) error {
+	return f.pushDurable(ctx, address, entries)
 }
 
 func (f *fakeGossip) Subscribe(_ gossip.TableID, call func(gossip.Entry)) { f.subscriber = call }
--- /dev/null
+++ b/serving/endpoints/exchange/replication_test.go
@@ -0,0 +1,124 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rowanlink/serving/errcode"
+	"rowanlink/serving/gossip"
+	"rowanlink/serving/quorum"
+	"rowanlink/serving/state"
+)
+
+// diskState is how a replica's disk responds.
+type diskState int
+
+const (
+	works diskState = iota
+	failing
+	stalled
+)
+
+// diskTime is what a disk that works needs for a transaction.
+const diskTime = 10 * time.Millisecond
+
+// store plays a disk.
+func (d diskState) store(ctx context.Context) error {
+	switch d {
+	case failing:
+		return errors.New("disk is full")
+	case stalled:
+		<-ctx.Done()
+		return ctx.Err()
+	default:
+		time.Sleep(diskTime)
+		return nil
+	}
+}
+
+// newReplicatedExchange returns an exchange whose own disk and whose replicas' disks respond as given.
+func newReplicatedExchange(local diskState, others map[string]diskState) *Exchange {
+	f := &fakeGossip{subscriber: func(gossip.Entry) {}}
+	f.pushDurable = func(ctx context.Context, address string, _ []gossip.Entry) error {
+		return others[address].store(ctx)
+	}
+	return &Exchange{
+		gossip:   f,
+		persist:  func(ctx context.Context, _ []state.Endpoint) error { return local.store(ctx) },
+		replicas: newReplicaSender(f.PushDurable),
+	}
+}
+
+// TestPutReplicated_NeedsAMajorityOfDisks guards against an acknowledgement of what fewer disks have.
+func TestPutReplicated_NeedsAMajorityOfDisks(t *testing.T) {
+	others := []string{"a", "b"}
+	for _, test := range []struct {
+		name        string
+		targets     quorum.Targets
+		local, a, b diskState
+		stored      bool
+	}{
+		{"all work", quorum.Targets{Others: others, Local: true, Quorum: 2}, works, works, works, true},
+		{"one is stalled", quorum.Targets{Others: others, Local: true, Quorum: 2}, works, stalled, works, true},
+		{"the own one is stalled", quorum.Targets{Others: others, Local: true, Quorum: 2}, stalled, works, works, true},
+		{"two are full", quorum.Targets{Others: others, Local: true, Quorum: 2}, works, failing, failing, false},
+		{"two don't respond", quorum.Targets{Others: others, Local: true, Quorum: 2}, failing, stalled, works, false},
+		{"a learner's own copy doesn't count", quorum.Targets{Others: others, Quorum: 2}, works, works, failing, false},
+		{"the only voter", quorum.Targets{Local: true, Quorum: 1}, works, failing, failing, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newReplicatedExchange(test.local, map[string]diskState{"a": test.a, "b": test.b})
+				ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+				defer cancel()
+				begun := time.Now()
+				err := x.PutReplicated(ctx, state.Endpoint{ID: "e", State: state.EndpointDeparted}, test.targets)
+				if test.stored {
+					require.NoError(t, err)
+					assert.Equal(t, diskTime, time.Since(begun), "no sooner than a disk can have it")
+				} else {
+					assert.True(t, errcode.NotAcknowledged.Is(err), "%v", err)
+				}
+				time.Sleep(replicaCallTimeout) // the calls to a stalled disk end
+			})
+		})
+	}
+}
+
+// TestPutReplicated_ManyAtOnce: 1,000 endpoints that leave within a second are acknowledged within a tenth of a second,
+// also beside a stalled disk, in far fewer calls.
+func TestPutReplicated_ManyAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		x := newReplicatedExchange(works, map[string]diskState{"a": works, "b": stalled})
+		push := x.replicas.push
+		x.replicas.push = func(ctx context.Context, address string, entries []gossip.Entry) error {
+			calls++
+			return push(ctx, address, entries)
+		}
+		targets := quorum.Targets{Others: []string{"a", "b"}, Local: true, Quorum: 2}
+		var leaving sync.WaitGroup
+		for i := range 1000 {
+			leaving.Go(func() {
+				begun := time.Now()
+				endpoint := state.Endpoint{ID: fmt.Sprint("e", i), State: state.EndpointDeparted}
+				assert.NoError(t, x.PutReplicated(t.Context(), endpoint, targets))
+				assert.Less(t, time.Since(begun), 100*time.Millisecond)
+			})
+			time.Sleep(time.Millisecond)
+		}
+		leaving.Wait()
+		assert.Less(t, calls, 300)
+		time.Sleep(2 * replicaCallTimeout) // the calls to the stalled disk end
+		synctest.Wait()
+		assert.Empty(t, x.replicas.queues)
+	})
+}
--- a/serving/errcode/gossip.go
+++ b/serving/errcode/gossip.go
@@ -6,5 +6,6 @@
 var (
 	TooFewMembers    = define(300, http.StatusServiceUnavailable, "too few other members are live")
 	NotAcknowledged  = define(301, http.StatusServiceUnavailable, "too few other members acknowledged in time")
+	NotPersisted     = define(303, http.StatusServiceUnavailable, "the disk hasn't confirmed the entries")
 	MembershipClosed = define(302, http.StatusServiceUnavailable, "this member has left the membership")
 )
--- a/serving/event/register.go
+++ b/serving/event/register.go
@@ -16,7 +16,7 @@
 	ReplicaIsLearner       = define(209, zerolog.InfoLevel, "replica is a learner: it stores the committed record and doesn't vote")
 	StoreMovedAside        = define(210, zerolog.ErrorLevel, "store file is damaged and was moved aside; treated as a lost disk")
 	EndpointStoreRemoved   = define(211, zerolog.WarnLevel, "endpoint store is damaged and was removed; it is rebuilt")
-	EndpointStoreFailed    = define(212, zerolog.WarnLevel, "endpoints can't be saved or restored; recovery from a total loss will take longer")
+	EndpointStoreFailed    = define(212, zerolog.WarnLevel, "endpoints can't be saved or restored; this member confirms no departures, and recovery from a total loss will take longer")
 	VoteTransferred        = define(213, zerolog.InfoLevel, "replica transferred its vote to a learner")
 	VoteRetained           = define(214, zerolog.InfoLevel, "replica stops with its vote: no learner could take it")
 	MajorityLost           = define(215, zerolog.ErrorLevel, "most voters are absent: no change is accepted until enough of them are back with their disks")
--- a/serving/gossip/message.go
+++ b/serving/gossip/message.go
@@ -7,6 +7,9 @@
 	Offers  []Header `cbor:"3,keyasint,omitempty"` // entries without their values, which the receiver may request
 	// Relay lists zones that the receiver is to forward the entries to, since the sender may not be able to reach them.
 	Relay []string `cbor:"4,keyasint,omitempty"`
+	// Durable requests that the receiver responds only once the entries would survive a loss of its power. Members of
+	// a version without this field respond once they have stored them in memory.
+	Durable bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Envelope is a message with its receiver.
--- a/serving/member/handlers.go
+++ b/serving/member/handlers.go
@@ -18,9 +18,7 @@
 	probeMethod.Serve(mux, func(ctx context.Context, request *probeRequest) (*probeResponse, error) {
 		return &probeResponse{Responded: s.caller.relayProbe(ctx, request)}, nil
 	})
-	pushMethod.Serve(mux, func(_ context.Context, message *gossip.Message) (*pushResponse, error) {
-		return respond(s, func(now time.Time, n *node) pushResponse { return n.handlePush(now, *message) })
-	})
+	pushMethod.Serve(mux, s.servePush)
 	compareMethod.Serve(mux, func(_ context.Context, request *compareRequest) (*compareResponse, error) {
 		return respond(s, func(now time.Time, n *node) compareResponse { return n.handleCompare(now, request) })
 	})
@@ -29,6 +27,18 @@
 	})
 }
 
+// servePush stores the entries of a message, on disk too where the sender requests that.
+func (s *Service) servePush(ctx context.Context, message *gossip.Message) (*pushResponse, error) {
+	response, err := respond(s, func(now time.Time, n *node) pushResponse { return n.handlePush(now, *message) })
+	if err != nil || !message.Durable {
+		return response, err
+	}
+	if err := s.persist(ctx, message.Entries); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
 // respond executes a command on the node and returns its result; errcode.MembershipClosed after Close.
 func respond[Response any](s *Service, command func(now time.Time, n *node) Response) (*Response, error) {
 	response, ok := actor.Call(s.actor, func(n *node) Response {
--- a/serving/member/replication_test.go
+++ b/serving/member/replication_test.go
@@ -146,3 +146,25 @@
 	defer cancel()
 	assert.Error(t, fakes.service.PutReplicated(ctx, replicated, nil, 1))
 }
+
+// TestPushDurable_NeedsTheReceiversDisk guards against a member that acknowledges a durable push from memory.
+func TestPushDurable_NeedsTheReceiversDisk(t *testing.T) {
+	sender, receiver := newFakeMembers(t).service, newFakeMembers(t).service
+	server := httptest.NewServer(receiver.options.Mux)
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	entries := []gossip.Entry{replicated}
+	assert.Error(t, sender.PushDurable(t.Context(), address, entries), "no disk yet")
+	var persisted []gossip.Entry
+	diskError := errors.New("disk is full")
+	receiver.SetPersister(func(_ context.Context, entries []gossip.Entry) error {
+		persisted = append(persisted, entries...)
+		return diskError
+	})
+	assert.Error(t, sender.PushDurable(t.Context(), address, entries), "the disk fails")
+	diskError = nil
+	require.NoError(t, sender.PushDurable(t.Context(), address, entries))
+	assert.Len(t, persisted, 2)
+	_, found := receiver.Get(gossip.TableEndpoints, replicated.Key)
+	assert.True(t, found, "it is gossiped on")
+}
--- a/serving/member/service.go
+++ b/serving/member/service.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -40,6 +41,8 @@
 	wake     chan struct{} // something is due before the timer fires
 	done     chan struct{} // closed when the timer loop has ended
 	cancel   context.CancelFunc
+	// persister saves the entries of durable pushes; nil before SetPersister.
+	persister atomic.Pointer[Persister]
 }
 
 // Start joins the membership in the background, until ctx ends or Close is called. The incarnation is the wall
--- a/serving/operator/endpoint.go
+++ b/serving/operator/endpoint.go
@@ -29,7 +29,7 @@
 }
 
 // Heartbeat handles a heartbeat. The heartbeat of a closing endpoint is acknowledged only once a majority of the voters
-// has stored its state. All others are acknowledged while this member sees a majority of the voters live: a partitioned
+// has its state on disk. All others are acknowledged while this member sees a majority of the voters live: a partitioned
 // member thus makes endpoints fail over to members that the dispatchers receive updates from.
 func (e *EndpointResource) Heartbeat(w http.ResponseWriter, r *http.Request) {
 	body, err := readBody(w, r, maxHeartbeatBytes)
@@ -74,8 +74,9 @@
 }
 
 // replicate sends a change to the other members. For an endpoint that accepts no new requests it returns once a
-// majority of the voters has stored the change: each dispatcher that isn't partitioned receives it from one of them,
-// and a partitioned member acknowledges nothing. Errors are errcode.NotReplicated.
+// majority of the voters has the change on disk: each dispatcher that isn't partitioned receives it from one of them,
+// also after all of them have restarted, and a partitioned member acknowledges nothing. Errors are
+// errcode.NotReplicated.
 func (e *EndpointResource) replicate(ctx context.Context, endpoint state.Endpoint, change endpoints.Change) error {
 	if endpoint.State == state.EndpointAccepting {
 		return e.gossip(endpoint, change)
@@ -83,13 +84,17 @@
 	if change.Replicated {
 		return nil
 	}
-	others, needed, known := e.quorum.OtherVoters()
+	targets, known := e.quorum.Targets()
 	if !known {
 		return errcode.NotReplicated.With("endpoint %s: the voters aren't known yet", endpoint.ID)
 	}
+	if !e.quorum.HasQuorum() {
+		e.replicator.Put(endpoint)
+		return errcode.NotReplicated.With("endpoint %s: too few voters are live", endpoint.ID)
+	}
 	ctx, cancel := context.WithTimeout(ctx, replicationTimeout)
 	defer cancel()
-	if err := e.replicator.PutReplicated(ctx, endpoint, others, needed); err != nil {
+	if err := e.replicator.PutReplicated(ctx, endpoint, targets); err != nil {
 		event.EndpointNotReplicated.Log(e.log).Str("endpoint", endpoint.ID).Err(err).Send()
 		return errcode.NotReplicated.With("endpoint %s: %v", endpoint.ID, err)
 	}
--- a/serving/operator/endpoint_test.go
+++ b/serving/operator/endpoint_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"rowanlink/serving/quorum"
 	"rowanlink/serving/state"
 )
 
@@ -42,8 +43,8 @@
 				}
 				assert.Equal(t, 200, f.call("POST", call.path, call.body).Code)
 				assert.Len(t, f.replicator.replicated, 3)
-				assert.Equal(t, []string{"core-2", "core-3"}, f.replicator.addresses)
-				assert.Equal(t, 1, f.replicator.copies)
+				targets := quorum.Targets{Others: []string{"core-2", "core-3"}, Local: true, Quorum: 2}
+				assert.Equal(t, targets, f.replicator.targets)
 				assert.Equal(t, 200, f.call("POST", call.path, call.body).Code)
 				assert.Len(t, f.replicator.replicated, 3, "the other members have stored it already")
 			})
@@ -53,20 +54,19 @@
 
 func TestClosing_ReplicasNeededForAMajority(t *testing.T) {
 	for _, test := range []struct {
-		name      string
-		voters    fakeVoters
-		addresses []string
-		copies    int
+		name    string
+		voters  fakeVoters
+		targets quorum.Targets
 	}{
-		{"the only voter", fakeVoters{"core-1"}, nil, 0},
-		{"one of five", fakeVoters{"core-1", "a", "b", "c", "d"}, []string{"a", "b", "c", "d"}, 2},
-		{"a learner", fakeVoters{"a", "b", "c"}, []string{"a", "b", "c"}, 2},
+		{"the only voter", fakeVoters{"core-1"}, quorum.Targets{Local: true, Quorum: 1}},
+		{"one of five", fakeVoters{"core-1", "a", "b", "c", "d"},
+			quorum.Targets{Others: []string{"a", "b", "c", "d"}, Local: true, Quorum: 3}},
+		{"a learner", fakeVoters{"a", "b", "c"}, quorum.Targets{Others: []string{"a", "b", "c"}, Quorum: 2}},
 	} {
 		f := newFixture(t)
 		*f.voters = test.voters
 		assert.Equal(t, 200, f.call("POST", heartbeatPath, heartbeatBody("closing", 4)).Code, test.name)
-		assert.Equal(t, test.addresses, f.replicator.addresses, test.name)
-		assert.Equal(t, test.copies, f.replicator.copies, test.name)
+		assert.Equal(t, test.targets, f.replicator.targets, test.name)
 	}
 }
 
--- a/serving/operator/fakes_test.go
+++ b/serving/operator/fakes_test.go
@@ -78,16 +78,15 @@
 type fakeReplicator struct {
 	put        []state.Endpoint
 	replicated []state.Endpoint
-	addresses  []string // addresses of the newest replication
-	copies     int      // of the newest replication
+	targets    quorum.Targets // of the newest replication
 	failures   int
 	down       map[string]bool // by address
 }
 
 func (f *fakeReplicator) Put(e state.Endpoint) { f.put = append(f.put, e) }
 
-func (f *fakeReplicator) PutReplicated(ctx context.Context, e state.Endpoint, addresses []string, copies int) error {
-	f.addresses, f.copies = addresses, copies
+func (f *fakeReplicator) PutReplicated(ctx context.Context, e state.Endpoint, targets quorum.Targets) error {
+	f.targets = targets
 	f.replicated = append(f.replicated, e)
 	if f.failures > 0 {
 		f.failures--
--- a/serving/operator/operator.go
+++ b/serving/operator/operator.go
@@ -58,8 +58,8 @@
 type Replicator interface {
 	// Put gossips an endpoint's state. It doesn't block.
 	Put(endpoint state.Endpoint)
-	// PutReplicated does the same and returns once the given number of members at the addresses have stored it.
-	PutReplicated(ctx context.Context, endpoint state.Endpoint, addresses []string, copies int) error
+	// PutReplicated does the same and returns once as many targets as are a quorum have it on their disks.
+	PutReplicated(ctx context.Context, endpoint state.Endpoint, targets quorum.Targets) error
 }
 
 // Options of the control address. All but ForwardTo are required.
--- a/serving/operator/threecores_test.go
+++ b/serving/operator/threecores_test.go
@@ -130,8 +130,10 @@
 		Gossip:            members,
 		HeartbeatInterval: process.HeartbeatInterval,
 		HasQuorum:         quorumChecker.HasQuorum,
+		Persist:           func(context.Context, []state.Endpoint) error { return nil },
 		Log:               &log,
 	})
+	members.SetPersister(endpointExchange.PersistEntries)
 	handler := operator.New(operator.Options{
 		Register:   operator.NewRegister(node),
 		Endpoints:  endpointExchange.Table(),
--- a/serving/quorum/checker.go
+++ b/serving/quorum/checker.go
@@ -18,30 +18,39 @@
 	IsLive func(address string) bool
 }
 
-// OtherVoters returns the addresses of the voters except this process, and how many of them it needs for a majority. It
-// returns false before the voters are known.
-func (c *Checker) OtherVoters() (addresses []string, needed int, known bool) {
+// Targets are the replicas that have to store a state before it counts as stored by the system.
+type Targets struct {
+	Others []string // addresses of the voters except this process
+	Local  bool     // this process is a voter too
+	Quorum int      // copies that are a majority of the voters
+}
+
+// Targets returns the present targets. It returns false before the voters are known.
+func (c *Checker) Targets() (targets Targets, known bool) {
 	voters := c.Voters.Voters()
-	needed = voters.Quorum()
+	targets.Quorum = voters.Quorum()
 	for _, voter := range voters.Replicas {
 		if voter.Address == c.Self {
-			needed--
+			targets.Local = true
 			continue
 		}
-		addresses = append(addresses, voter.Address)
+		targets.Others = append(targets.Others, voter.Address)
 	}
-	return addresses, needed, len(voters.Replicas) > 0
+	return targets, len(voters.Replicas) > 0
 }
 
 // HasQuorum reports whether enough voters are live for a majority. It returns true before the voters are known, as
 // after a start.
 func (c *Checker) HasQuorum() bool {
-	others, needed, known := c.OtherVoters()
+	targets, known := c.Targets()
 	live := 0
-	for _, address := range others {
+	if targets.Local {
+		live++
+	}
+	for _, address := range targets.Others {
 		if c.IsLive(address) {
 			live++
 		}
 	}
-	return !known || live >= needed
+	return !known || live >= targets.Quorum
 }
--- a/serving/quorum/checker_test.go
+++ b/serving/quorum/checker_test.go
@@ -24,19 +24,21 @@
 		voters    voters
 		live      []string
 		others    []string
-		needed    int
+		local     bool
+		quorum    int
 		known     bool
 		hasQuorum bool
 	}{
 		{
 			name:      "unknown",
-			needed:    1,
+			quorum:    1,
 			hasQuorum: true,
 		},
 		{
 			name:      "the only voter",
 			voters:    voters{"self"},
-			needed:    0,
+			quorum:    1,
+			local:     true,
 			known:     true,
 			hasQuorum: true,
 		},
@@ -44,7 +46,8 @@
 			name:   "partitioned",
 			voters: voters{"self", "a", "b"},
 			others: []string{"a", "b"},
-			needed: 1,
+			quorum: 2,
+			local:  true,
 			known:  true,
 		},
 		{
@@ -52,7 +55,8 @@
 			voters:    voters{"self", "a", "b"},
 			live:      []string{"b"},
 			others:    []string{"a", "b"},
-			needed:    1,
+			quorum:    2,
+			local:     true,
 			known:     true,
 			hasQuorum: true,
 		},
@@ -61,7 +65,8 @@
 			voters: voters{"self", "a", "b", "c", "d"},
 			live:   []string{"a"},
 			others: []string{"a", "b", "c", "d"},
-			needed: 2,
+			quorum: 3,
+			local:  true,
 			known:  true,
 		},
 		{
@@ -69,7 +74,7 @@
 			voters: voters{"a", "b", "c"},
 			live:   []string{"a"},
 			others: []string{"a", "b", "c"},
-			needed: 2,
+			quorum: 2,
 			known:  true,
 		},
 		{
@@ -77,7 +82,7 @@
 			voters:    voters{"a", "b", "c"},
 			live:      []string{"a", "c"},
 			others:    []string{"a", "b", "c"},
-			needed:    2,
+			quorum:    2,
 			known:     true,
 			hasQuorum: true,
 		},
@@ -87,9 +92,8 @@
 			live[address] = true
 		}
 		c := &Checker{Voters: test.voters, Self: "self", IsLive: func(address string) bool { return live[address] }}
-		others, needed, known := c.OtherVoters()
-		assert.Equal(t, test.others, others, test.name)
-		assert.Equal(t, test.needed, needed, test.name)
+		targets, known := c.Targets()
+		assert.Equal(t, Targets{Others: test.others, Local: test.local, Quorum: test.quorum}, targets, test.name)
 		assert.Equal(t, test.known, known, test.name)
 		assert.Equal(t, test.hasQuorum, c.HasQuorum(), test.name)
 	}
--- a/test/fake/endpoint/endpoint.go
+++ b/test/fake/endpoint/endpoint.go
@@ -107,7 +107,7 @@
 	case <-drained.C:
 	case <-ctx.Done():
 	}
-	e.endHeartbeats()
+	e.StopHeartbeats()
 	_ = e.heartbeats.deregister(ctx) // the closing was acknowledged
 	return nil
 }
@@ -115,19 +115,20 @@
 // Deregister ends the heartbeats and deregisters, without having reported before that the endpoint is closing; it serves
 // on until Close. An error means that the deregistration was not acknowledged.
 func (e *Endpoint) Deregister(ctx context.Context) error {
-	e.endHeartbeats()
+	e.StopHeartbeats()
 	return e.heartbeats.deregister(ctx)
 }
 
 // Close terminates the endpoint like a crash: it reports nothing, and running requests are aborted.
 func (e *Endpoint) Close() {
 	e.closeOnce.Do(func() {
-		e.endHeartbeats()
+		e.StopHeartbeats()
 		_ = e.server.Close()
 	})
 }
 
-func (e *Endpoint) endHeartbeats() {
+// StopHeartbeats ends the heartbeats; the endpoint serves on until Close.
+func (e *Endpoint) StopHeartbeats() {
 	e.stopHeartbeats()
 	<-e.heartbeatsDone
 }
--- a/test/integration/serving/cluster_test.go
+++ b/test/integration/serving/cluster_test.go
@@ -24,6 +24,8 @@
 	waitTimeout = time.Minute
 	// pollInterval is the time between two checks of what is waited for.
 	pollInterval = 20 * time.Millisecond
+	// heartbeatInterval is the endpoints' one where a test needs no other.
+	heartbeatInterval = 500 * time.Millisecond
 	// failureLogLines is how many lines of each log a failed test shows.
 	failureLogLines = 25
 )
@@ -48,16 +50,19 @@
 type cluster struct {
 	t        *testing.T
 	programs programSelector
-	folder   string // of settings and disks
-	network  string // the first three numbers of all addresses
-	cores    []*node
-	agents   []*node
-	proxies  []*node
-	ledger   *requestLedger
-	writers  []*endpoint.Endpoint
-	stocks   []*endpoint.Endpoint
-	rpc      *rpc.Client
-	version  uint64 // of the newest acknowledged configuration
+	// heartbeatInterval is the time between two heartbeats of an endpoint.
+	heartbeatInterval time.Duration
+
+	folder  string // of settings and disks
+	network string // the first three numbers of all addresses
+	cores   []*node
+	agents  []*node
+	proxies []*node
+	ledger  *requestLedger
+	writers []*endpoint.Endpoint
+	stocks  []*endpoint.Endpoint
+	rpc     *rpc.Client
+	version uint64 // of the newest acknowledged configuration
 }
 
 // startCluster starts a new system and waits until all of it serves.
@@ -74,13 +79,22 @@
 
 // startClusterWithSelector is startCluster with programs chosen for each process.
 func startClusterWithSelector(t *testing.T, programs programSelector) *cluster {
+	t.Helper()
+	return startClusterWithHeartbeats(t, programs, heartbeatInterval)
+}
+
+// startClusterWithHeartbeats is startClusterWithSelector with another interval between heartbeats.
+func startClusterWithHeartbeats(t *testing.T, programs programSelector, interval time.Duration) *cluster {
 	t.Helper()
 	c := &cluster{
 		t:        t,
 		programs: programs,
-		network:  uniqueLoopbackNetwork(),
-		ledger:   newLedger(),
-		rpc:      rpc.NewClient(),
+
+		heartbeatInterval: interval,
+
+		network: uniqueLoopbackNetwork(),
+		ledger:  newLedger(),
+		rpc:     rpc.NewClient(),
 	}
 	t.Cleanup(c.stopAll)
 	c.folder = t.TempDir()
@@ -125,7 +139,7 @@
 	}
 	n.settingsLines = []string{"node_name=" + n.name, "ip_addr=" + n.ip, "zone=" + p.zone, "region=" + p.region,
 		fmt.Sprintf("port_range=%d,%d", portMembers, portLast), "seed_nodes=" + strings.Join(c.controlAddresses(), ","),
-		"beat_ms=500", "limits.ram_mb=280", "limits.file_limit=4096", "withstand.machine_losses=1", "withstand.zones=1"}
+		fmt.Sprintf("beat_ms=%d", c.heartbeatInterval.Milliseconds()), "limits.ram_mb=280", "limits.file_limit=4096", "withstand.machine_losses=1", "withstand.zones=1"}
 	for _, each := range locations {
 		n.settingsLines = append(n.settingsLines, "zones."+each.zone+"="+each.region)
 	}
--- a/test/integration/serving/endpoints_test.go
+++ b/test/integration/serving/endpoints_test.go
@@ -40,7 +40,7 @@
 	options.HealthPath = healthPath
 	options.ListenAddress = c.address(number, portEndpoint)
 	options.Control = c.controlAddresses()
-	options.HeartbeatInterval = 500 * time.Millisecond
+	options.HeartbeatInterval = c.heartbeatInterval
 	options.DrainTime = drainTime
 	options.MaxConnections = maxConnections
 	options.OnRequest = c.ledger.recordEvent
