serving/endpoints: a new process under the ID of a departed endpoint is served

What callers saw: a process that registered under the ID of one that had signed off got 200 for its heartbeats and no requests: for 60 s by the table's tombstone, and for 20 minutes by the versions that the other members retain.

Cause: a deregistration has the highest possible version, and nothing told a late heartbeat of the departed process from the first ones of another.

Change: a process keeps its address and its sequence rises. So a heartbeat with another address is a new process's; at the same address so are two heartbeats that have begun to count anew, 10 s after the departure. Its entries carry a registration number, which makes their versions newer than the tombstone's; a late heartbeat of the former process is told by its address. Placement takes a new registration for another endpoint. A draining endpoint that is restored from disk no longer makes the one that has its address now unresponsive.

--- a/serving/endpoints/heartbeat.go
+++ b/serving/endpoints/heartbeat.go
@@ -33,14 +33,21 @@
 // ReceiveHeartbeat processes a heartbeat and returns the endpoint's new state.
 func (t *Table) ReceiveHeartbeat(now time.Time, id string, heartbeat Heartbeat) (state.Endpoint, Change) {
 	e, known := t.entries[id]
-	if known && heartbeat.Sequence <= e.endpoint.Sequence {
-		return e.snapshotAt(now), Change{Stale: true, Replicated: e.broadcast.replicated}
-	}
 	if !known {
 		e = t.addEntry(id)
 	}
 	before := e.endpoint
+	switch {
+	case !known:
+	case heartbeat.Sequence <= before.Sequence && t.isNewRegistration(now, e, heartbeat):
+		e.endpoint.Registration++
+	case heartbeat.Sequence <= before.Sequence, isOfEarlierRegistration(before, heartbeat):
+		return e.snapshotAt(now), Change{Stale: true, Replicated: e.broadcast.replicated}
+	}
 	t.applyHeartbeat(now, e, heartbeat)
+	if !known {
+		t.removed.raiseRegistration(&e.endpoint)
+	}
 	change := Change{
 		New:       !known,
 		Broadcast: e.needsBroadcast(before) || heartbeat.Draining && !e.broadcast.replicated,
@@ -70,6 +77,7 @@
 		endpoint.State = state.EndpointDraining
 	}
 	endpoint.Sequence = heartbeat.Sequence
+	endpoint.LastSequence = 0
 	endpoint.Unresponsive = false
 	e.outlier.resetAfterAbsence(now.Sub(e.lastHeartbeat), t.options.HeartbeatInterval)
 	endpoint.Failing = e.outlier.isEjected(now)
@@ -79,6 +87,7 @@
 	e.lastHeartbeat = now
 	e.responsible = true
 	e.departedAt = time.Time{}
+	e.restart = sequenceRestart{}
 }
 
 // needsBroadcast reports whether the other members need the entry's state, given the endpoint before the change.
@@ -105,6 +114,7 @@
 		a.Unresponsive == b.Unresponsive &&
 		a.Failing == b.Failing &&
 		a.Receiver == b.Receiver &&
+		a.Registration == b.Registration &&
 		slices.EqualFunc(a.Models, b.Models, isSameModel)
 }
 
@@ -112,8 +122,8 @@
 	return a.Name == b.Name && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 }
 
-// Deregister processes the deregistration of an endpoint. The endpoint may still finish its requests; it never comes
-// back.
+// Deregister processes the deregistration of an endpoint. The endpoint may still finish its requests; its process never
+// comes back. For a new process under the same ID see isNewRegistration.
 func (t *Table) Deregister(now time.Time, id string) (state.Endpoint, Change) {
 	e, known := t.entries[id]
 	if known && e.endpoint.Sequence == deregisteredSequence {
@@ -122,6 +132,7 @@
 	if !known {
 		e = t.addEntry(id)
 	}
+	e.endpoint.LastSequence = e.endpoint.Sequence
 	e.endpoint.Sequence = deregisteredSequence
 	e.endpoint.Receiver = t.options.Self
 	t.markDeparted(now, e)
@@ -131,7 +142,7 @@
 
 // addEntry adds the entry of an unknown endpoint.
 func (t *Table) addEntry(id string) *entry {
-	e := &entry{endpoint: state.Endpoint{ID: id}}
+	e := &entry{endpoint: state.Endpoint{ID: id, Registration: t.removed.byID[id].registration}}
 	t.entries[id] = e
 	return e
 }
--- a/serving/endpoints/merge.go
+++ b/serving/endpoints/merge.go
@@ -23,7 +23,7 @@
 	}
 	moved := e.endpoint.Address != update.Address
 	t.adoptUpdate(now, e, update)
-	if moved && update.State != state.EndpointDeparted && !update.Unresponsive {
+	if moved && update.State == state.EndpointAccepting && !update.Unresponsive {
 		t.markPredecessorsUnresponsive(e)
 	}
 	return true
--- a/serving/endpoints/sweep.go
+++ b/serving/endpoints/sweep.go
@@ -73,6 +73,7 @@
 func (t *Table) remove(e *entry) {
 	t.position++
 	t.removals.add(t.position, e.endpoint.ID)
+	t.removed.add(t.position, e.endpoint)
 	delete(t.entries, e.endpoint.ID)
 	delete(t.pending, e.endpoint.ID)
 }
--- a/serving/endpoints/table.go
+++ b/serving/endpoints/table.go
@@ -44,8 +44,9 @@
 type Table struct {
 	options   Options
 	entries   map[string]*entry
-	position  uint64            // of the newest change
-	removals  removalLog        // of endpoints
+	position  uint64     // of the newest change
+	removals  removalLog // of endpoints
+	removed   removedEndpoints
 	pending   map[string]*entry // to be broadcast by the next sweep, by ID
 	lastSweep time.Time
 }
@@ -59,7 +60,8 @@
 	lastHeartbeat  time.Time // or when this member became responsible
 	responsible    bool      // whether this member was responsible at the last sweep
 	departedAt     time.Time
-	changePosition uint64 // of its newest change
+	restart        sequenceRestart // the newest heartbeat that may be of a new process
+	changePosition uint64          // of its newest change
 	broadcast      broadcastState
 	outlier        outlierState
 }
@@ -83,6 +85,7 @@
 		options: options,
 		entries: make(map[string]*entry),
 		pending: make(map[string]*entry),
+		removed: newRemovedEndpoints(),
 	}
 }
 
--- a/serving/endpoints/version.go
+++ b/serving/endpoints/version.go
@@ -10,14 +10,26 @@
 	"rowanlink/serving/state"
 )
 
-// deregisteredSequence is the sequence of an endpoint that has deregistered. No delayed call of it is newer, since it
-// never comes back.
+// deregisteredSequence is the sequence of an endpoint that has deregistered. No delayed call of its process is newer,
+// since that never comes back.
 const deregisteredSequence = math.MaxUint64
 
-// VersionOf returns the version of an endpoint's state in gossip: first by the endpoint's count of its calls, then
-// departed over draining over accepting, then failing over not failing, then unresponsive over responsive.
+// The bits of a version's minor part: the state in all versions, and the sequence and registration in those of later
+// registrations, which are newer than any version of the first one.
+const (
+	unresponsiveBit   = 1
+	failingBit        = 2
+	stateShift        = 2
+	sequenceShift     = 4
+	sequenceBits      = 44
+	maxSequence       = 1<<sequenceBits - 1 // of a later registration; higher ones count as equal
+	registrationShift = sequenceShift + sequenceBits
+)
+
+// VersionOf returns the version of an endpoint's state in gossip: first by the registration, then by the endpoint's
+// count of its calls, then departed over draining over accepting, then failing over not failing, then unresponsive over
+// responsive.
 func VersionOf(e state.Endpoint) gossip.Version {
-	const unresponsiveBit, failingBit, stateShift = 1, 2, 2
 	minor := uint64(e.State) << stateShift
 	if e.Unresponsive {
 		minor |= unresponsiveBit
@@ -25,7 +37,12 @@
 	if e.Failing {
 		minor |= failingBit
 	}
-	return gossip.NewVersion(e.Sequence, minor)
+	if e.Registration == 0 {
+		return gossip.NewVersion(e.Sequence, minor)
+	}
+	minor |= min(e.Sequence, maxSequence) << sequenceShift
+	minor |= e.Registration << registrationShift
+	return gossip.NewVersion(math.MaxUint64, minor)
 }
 
 // isNewer reports whether a is newer than b.
--- a/serving/placement/eligibility_test.go
+++ b/serving/placement/eligibility_test.go
@@ -94,6 +94,18 @@
 	assert.Equal(t, Picked, decision.Kind)
 }
 
+// TestPick_NewRegistrationIsAnotherEndpoint: what is known of a process doesn't count for the next one under its ID.
+func TestPick_NewRegistrationIsAnotherEndpoint(t *testing.T) {
+	w := newFixture(t, "e1", modelEndpoints("e1", 1)...)
+	choice, _ := w.Pick(w.now, w.request("review", 1))
+	w.ReportOutcome(w.now, choice.Reservation, attempt.Misdirected)
+	w.snapshot.Endpoints[0].Registration++
+	w.snapshot.Endpoints[0].Sequence = 0
+	w.update()
+	_, decision := w.Pick(w.now, w.request("review", 1))
+	assert.Equal(t, Picked, decision.Kind)
+}
+
 func TestPick_UnresponsiveEndpointIsLastChoice(t *testing.T) {
 	w := newFixture(t, "e1", modelEndpoints("e1", 3)...)
 	w.snapshot.Endpoints[0].Unresponsive = true
--- a/serving/placement/snapshot.go
+++ b/serving/placement/snapshot.go
@@ -101,7 +101,7 @@
 // updateEndpoint adds an endpoint or brings it up to date.
 func (p *Picker) updateEndpoint(now time.Time, info *state.Endpoint) *endpoint {
 	e := p.endpoints[info.ID]
-	isNew := e == nil || e.service.name != info.Service
+	isNew := e == nil || e.service.name != info.Service || e.info.Registration != info.Registration
 	if isNew {
 		e = p.addEndpoint(info)
 	}
--- a/serving/state/endpoint.go
+++ b/serving/state/endpoint.go
@@ -18,7 +18,7 @@
 }
 
 // Endpoint is what one incarnation of an endpoint has reported about itself, as the system's processes exchange it.
-// Each incarnation has an ID of its own.
+// Each incarnation should have an ID of its own; Registration tells those apart that haven't.
 type Endpoint struct {
 	ID              string        `cbor:"1,keyasint"`
 	Service         string        `cbor:"2,keyasint"`
@@ -43,6 +43,10 @@
 	// Receiver is the name of the member that receives the heartbeats and decides on Unresponsive.
 	Receiver string  `cbor:"12,keyasint,omitempty"`
 	Models   []Model `cbor:"13,keyasint,omitempty"`
+	// Registration counts the processes that have registered under the ID after an earlier one had departed.
+	Registration uint64 `cbor:"15,keyasint,omitempty"`
+	// LastSequence is the last known Sequence before the endpoint deregistered; zero for all others.
+	LastSequence uint64 `cbor:"16,keyasint,omitempty"`
 }
 
 // Load is an endpoint's own report of its load, some hundred milliseconds old when it is read.
--- a/test/fake/endpoint/endpoint.go
+++ b/test/fake/endpoint/endpoint.go
@@ -55,7 +55,7 @@
 	}
 	started := time.Now()
 	e := &Endpoint{
-		ID:             newID(),
+		ID:             options.ID,
 		options:        options,
 		address:        listener.Addr().String(),
 		warmup:         newWarmupState(started, options.Warmup),
--- a/test/fake/endpoint/options.go
+++ b/test/fake/endpoint/options.go
@@ -4,6 +4,7 @@
 
 // Options are the parameters of an endpoint. Some zero values stand for defaults, as noted.
 type Options struct {
+	ID            string // empty: a new one
 	Service       string
 	Zone          string
 	Edition       string   // of the endpoint's software
@@ -51,6 +52,9 @@
 
 // withDefaults replaces zero values by defaults.
 func (o Options) withDefaults() Options {
+	if o.ID == "" {
+		o.ID = newID()
+	}
 	if o.HeartbeatInterval == 0 {
 		o.HeartbeatInterval = defaultHeartbeatInterval
 	}
--- a/test/integration/mutants/table_test.go
+++ b/test/integration/mutants/table_test.go
@@ -155,6 +155,13 @@
 		replace: "departed := 0",
 		pkg:     "serving/core", tests: "TestEndpointRestorer",
 	},
+	{
+		name:    "late heartbeats bring a departed endpoint back",
+		file:    "serving/endpoints/registration.go",
+		old:     "now.Sub(e.restart.at) >= t.options.HeartbeatInterval/2",
+		replace: "true",
+		pkg:     "serving/endpoints", tests: "TestTable",
+	},
 	{
 		name:    "a lease holder allows for no drift of clocks",
 		file:    "cluster/lease/holder.go",
--- a/test/integration/serving/compatibility_test.go
+++ b/test/integration/serving/compatibility_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -72,7 +73,8 @@
 	return firstGroup[programOfMachine{program, number - first}]
 }
 
-// changeThroughEachRelease changes the configuration under traffic, once through a core of each release.
+// changeThroughEachRelease changes the configuration under traffic, once through a core of each release, and then has an
+// endpoint leave.
 func changeThroughEachRelease(c *cluster) {
 	c.t.Helper()
 	load := c.startTraffic()
@@ -95,7 +97,13 @@
 		before := c.ledger.countServedBy(n.address(portClients))
 		c.eventually(n.name+" serves", func() bool { return c.ledger.countServedBy(n.address(portClients)) > before })
 	}
+	departed := c.stocks[0]
+	require.NoError(c.t, departed.Deregister(c.t.Context()), "an endpoint's end is acknowledged")
+	drained := time.Now().Add(drainTime)
+	load.awaitServed(servedPerPhase)
+	time.Sleep(time.Until(drained.Add(drainTime)))
 	load.stopAndCheck()
+	assert.Empty(c.t, c.ledger.runsAfter(drained, departed.ID))
 	for _, n := range c.nodes() {
 		assert.True(c.t, n.process.IsRunning(), "%s on %s", n.program, n.name)
 	}
--- a/test/integration/serving/departure_test.go
+++ b/test/integration/serving/departure_test.go
@@ -62,11 +62,27 @@
 			time.Sleep(time.Until(judged.Add(observedTime)))
 			load.stopAndCheck()
 			assert.Empty(t, c.ledger.runsAfter(judged, leaving.ID), "requests reached the endpoint")
+			leaving.Close()
+			c.requireSuccessorServes(leaving.ID, firstLeavingNumber+i-i%2, locations[i%len(locations)])
 		})
 		c.ledger.check(t)
 	}
 }
 
+// requireSuccessorServes checks that a new process under the ID of an endpoint that has left gets requests.
+func (c *cluster) requireSuccessorServes(id string, number int, at location) {
+	c.t.Helper()
+	options := stockOptions()
+	options.ID = id
+	started := time.Now()
+	successor := c.startEndpoint(options, number, at)
+	defer successor.Close()
+	load := c.startTraffic()
+	c.eventually("the successor serves", func() bool { return len(c.ledger.runsAfter(started, id)) > 0 })
+	load.stopAndCheck()
+	c.t.Logf("the successor served after %v", time.Since(started))
+}
+
 // drainSilently reports that the endpoint is closing and ends its heartbeats once that was acknowledged.
 func drainSilently(e *endpoint.Endpoint, ctx context.Context) error { //nolint:revive // the order of a method expression
 	select {
