serving/endpoints: a departure that came from another member isn't replicated by that

Cause: Table.adoptUpdate set `replicated` for all that came from another member. That was right when any second copy was enough.

Change: only MarkReplicated sets it, after a majority of the voters has confirmed the version from disk. A repeated sign-off is replicated again.

Tests: TestDeregistration_KnownFromAnotherMember, and a mutant that puts the line back and is found by it.

--- a/serving/endpoints/heartbeat.go
+++ b/serving/endpoints/heartbeat.go
@@ -26,7 +26,7 @@
 	New       bool // the endpoint wasn't known
 	Stale     bool // a newer call was processed already: nothing has changed
 	Broadcast bool // the change has to be gossiped
-	// Replicated: another member is known to have stored this version of the endpoint.
+	// Replicated: a majority of the voters is known to have this version of the endpoint on disk.
 	Replicated bool
 }
 
@@ -178,7 +178,8 @@
 	t.pending[e.endpoint.ID] = e
 }
 
-// MarkReplicated records that another member has stored a version of an endpoint. Only the last broadcast one counts.
+// MarkReplicated records that a majority of the voters has a version of an endpoint on disk. Only the last broadcast one
+// counts.
 func (t *Table) MarkReplicated(stored state.Endpoint) {
 	e, known := t.entries[stored.ID]
 	if !known {
--- a/serving/endpoints/merge.go
+++ b/serving/endpoints/merge.go
@@ -29,7 +29,8 @@
 	return true
 }
 
-// adoptUpdate replaces the state of an entry by another member's.
+// adoptUpdate replaces the state of an entry by another member's. That the two members have it doesn't mean that it is
+// replicated: there may be more voters, and neither may have it on disk.
 func (t *Table) adoptUpdate(now time.Time, e *entry, update state.Endpoint) {
 	if update.Service == "" { // deregistered at a member that didn't know the endpoint
 		update.Service = e.endpoint.Service
@@ -49,7 +50,6 @@
 	e.responsible = false
 	t.recordChange(e)
 	t.recordBroadcast(e)
-	e.broadcast.replicated = true
 }
 
 // correctStaleUpdate has the next sweep broadcast an entry of which another member has an older, different state. An
--- a/serving/endpoints/restore.go
+++ b/serving/endpoints/restore.go
@@ -16,6 +16,5 @@
 	e := &entry{}
 	t.entries[saved.ID] = e
 	t.adoptUpdate(now, e, saved)
-	e.broadcast.replicated = false // the other members may have lost their state too
 	return true
 }
--- a/serving/endpoints/table.go
+++ b/serving/endpoints/table.go
@@ -72,7 +72,7 @@
 	version    gossip.Version
 	warmupEnds time.Time
 	removalDue time.Time
-	replicated bool // another member is known to have stored it
+	replicated bool // a majority of the voters is known to have it on disk
 }
 
 // NewTable returns an empty table.
--- a/serving/operator/endpoint_test.go
+++ b/serving/operator/endpoint_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"rowanlink/serving/endpoints"
 	"rowanlink/serving/quorum"
 	"rowanlink/serving/state"
 )
@@ -85,6 +86,22 @@
 	assert.Equal(t, 200, f.call("POST", "/Endpoints.Beat/other", heartbeatBody("accepting", 3)).Code)
 }
 
+// TestDeregistration_KnownFromAnotherMember guards against an acknowledgement of what came from one other member: that
+// may have answered 503, since a majority couldn't be reached.
+func TestDeregistration_KnownFromAnotherMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		elsewhere := endpoints.NewTable(endpoints.Options{Self: "core-2", HeartbeatInterval: time.Second})
+		departed, _ := elsewhere.Deregister(time.Now(), "i-7f3a91c2")
+		f.table.Merge(departed, nil)
+		f.replicator.failures = 1
+		assert.Equal(t, 503, f.call("POST", deregisterPath, "").Code)
+		assert.Equal(t, 200, f.call("POST", deregisterPath, "").Code)
+		assert.Len(t, f.replicator.replicated, 2)
+		f.table.Stop()
+	})
+}
+
 func TestClosing_FailsWhileVotersAreUnknown(t *testing.T) {
 	f := newFixture(t)
 	*f.voters = nil
--- a/test/integration/mutants/table_test.go
+++ b/test/integration/mutants/table_test.go
@@ -155,6 +155,13 @@
 		replace: "departed := 0",
 		pkg:     "serving/core", tests: "TestEndpointRestorer",
 	},
+	{
+		name:    "what came from one other member counts as replicated",
+		file:    "serving/endpoints/merge.go",
+		old:     "	t.recordBroadcast(e)\n}",
+		replace: "	t.recordBroadcast(e)\n	e.broadcast.replicated = true\n}",
+		pkg:     "serving/operator", tests: "TestDeregistration",
+	},
 	{
 		name:    "late heartbeats bring a departed endpoint back",
 		file:    "serving/endpoints/registration.go",
