--- a/test/integration/serving/departure_test.go
+++ b/test/integration/serving/departure_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"rowanlink/test/fake/endpoint"
 )
@@ -83,6 +88,50 @@
 	c.t.Logf("the successor served after %v", time.Since(started))
 }
 
+// TestDeparture_ManyWithinASecond: 1,000 endpoints that leave within a second are acknowledged within a second each.
+func TestDeparture_ManyWithinASecond(t *testing.T) {
+	const leaving = 1000
+	c := startCluster(t)
+	client := newHTTPClient()
+	defer client.CloseIdleConnections()
+	var calls sync.WaitGroup
+	times := make([]time.Duration, leaving)
+	for i := range leaving {
+		calls.Go(func() {
+			begun := time.Now()
+			address := c.cores[i%len(c.cores)].address(portControl)
+			path := fmt.Sprintf("http://%s/Endpoints.SignOff/many-%d", address, i)
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, path, nil)
+			require.NoError(t, err)
+			response, err := client.Do(request)
+			if assert.NoError(t, err) {
+				assert.Equal(t, http.StatusOK, response.StatusCode)
+				_ = response.Body.Close() // only the status counts
+			}
+			times[i] = time.Since(begun)
+		})
+		time.Sleep(time.Second / leaving)
+	}
+	calls.Wait()
+	slices.Sort(times)
+	assert.Less(t, times[leaving-1], time.Second)
+	t.Logf("median %v, 99th percentile %v, longest %v", times[leaving/2], times[leaving*99/100], times[leaving-1])
+}
+
+// TestDeparture_FullDisksConfirmNothing: an endpoint that leaves is acknowledged beside one full disk of three, and
+// not beside two, until they have room again.
+func TestDeparture_FullDisksConfirmNothing(t *testing.T) {
+	c := startCluster(t)
+	c.cores[0].limitFileSize(0)
+	require.NoError(t, c.stocks[0].Deregister(t.Context()))
+	c.cores[1].limitFileSize(0)
+	for range 3 {
+		require.Error(t, c.stocks[1].Deregister(t.Context()))
+	}
+	c.cores[0].limitFileSize(unix.RLIM_INFINITY)
+	c.eventually("the departure is acknowledged", func() bool { return c.stocks[1].Deregister(t.Context()) == nil })
+}
+
 // drainSilently reports that the endpoint is closing and ends its heartbeats once that was acknowledged.
 func drainSilently(e *endpoint.Endpoint, ctx context.Context) error { //nolint:revive // the order of a method expression
 	select {
--- a/test/integration/serving/node_test.go
+++ b/test/integration/serving/node_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"rowanlink/test/integration/subprocess"
 )
@@ -129,6 +130,14 @@
 	return kilobytes
 }
 
+// limitFileSize makes writes beyond a size in bytes fail, as a full disk does.
+func (n *node) limitFileSize(bytes uint64) {
+	n.t.Helper()
+	n.log.Annotate("files end at %d bytes", bytes)
+	limit := unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}
+	require.NoError(n.t, unix.Prlimit(n.process.PID(), unix.RLIMIT_FSIZE, &limit, nil))
+}
+
 // diskUsedKB returns the size of the files on the node's disk.
 func (n *node) diskUsedKB() (kilobytes int) {
 	if n.store == "" {
