cluster/member: steps of a move are logged also after proposals without an answer

The leader had lost its quorum at that proposal, whose outcome stayed unknown; the step was taken, the move went on to its end, and the line was never written. Operators miss it as much.

Cause: a step is logged where its proposal is answered with success.

Change: a step whose proposal has an unknown outcome is kept and logged once the shard map shows it, by the coordinator (planned, warming, handing off) and by the members of the move (switched, cleared).

A run in which the fault occurs again could not be forced.

--- a/cluster/member/coordinator/coordinator.go
+++ b/cluster/member/coordinator/coordinator.go
@@ -10,8 +10,10 @@
 	"rowanlink/cluster"
 	"rowanlink/cluster/lease"
 	"rowanlink/cluster/member/session"
+	"rowanlink/cluster/member/steplog"
 	"rowanlink/cluster/rebalance"
 	"rowanlink/cluster/shardmap"
+	"rowanlink/cluster/transport"
 	"rowanlink/webhook/api"
 )
 
@@ -44,6 +46,7 @@
 	openMoves       int           // at the last Run
 	idleSince       api.Micros    // since when no move has ended
 	leaderUnreached bool          // no leader answered in this Run: it proposes nothing more
+	unconfirmed     steplog.Unconfirmed
 }
 
 // New returns a Coordinator that knows neither leases nor progress.
@@ -92,11 +95,12 @@
 // Run proposes what is due at a time of the member's monotonic clock, and returns whether the request was adopted or
 // needs no adoption. If the shard map has to change first, the Run after that change continues.
 func (c *Coordinator) Run(request PlanRequest, candidates Candidates, now api.Micros) (adopted bool) {
+	shardMap := c.Maps.Map()
+	c.confirmSteps(shardMap)
 	if !c.coordinates(now) {
 		return false
 	}
 	by := shardmap.Coordinator(c.epoch)
-	shardMap := c.Maps.Map()
 	if shardMap == nil || len(shardMap.Ranges) == 0 {
 		c.propose("shard map initialized", by.Initialize(candidates.Ranges, weightsOf(candidates.Members)))
 		return false
@@ -168,12 +172,11 @@
 			continue
 		}
 		open++
-		fields := []any{"range", r.ID, "move", r.Move.ID, "to", r.Move.To}
 		switch r.Move.Step {
 		case shardmap.StepPlanned:
-			c.propose("move warming", by.AdvanceMove(r.Move.ID, shardmap.StepWarming), fields...)
+			c.advanceMove("move warming", by, r, shardmap.StepWarming)
 		case shardmap.StepWarming:
-			c.propose("move handing off", by.AdvanceMove(r.Move.ID, shardmap.StepHandoff), fields...)
+			c.advanceMove("move handing off", by, r, shardmap.StepHandoff)
 		}
 	}
 	if open < c.openMoves {
@@ -182,19 +185,51 @@
 	c.openMoves = open
 }
 
+// confirmSteps logs the steps that the map shows as taken after all, also if another member coordinates by now.
+func (c *Coordinator) confirmSteps(shardMap *shardmap.Map) {
+	if shardMap == nil {
+		return
+	}
+	for _, r := range shardMap.Ranges {
+		c.unconfirmed.Confirm(r)
+	}
+}
+
+// advanceMove proposes the next step of a range's move.
+func (c *Coordinator) advanceMove(event string, by shardmap.Coordinator, r shardmap.Range, to shardmap.MoveStep) {
+	isTaken := func(now shardmap.Range) bool { return now.Move.ID == r.Move.ID && now.Move.Step >= to }
+	c.proposeStep(event, r.ID, isTaken, by.AdvanceMove(r.Move.ID, to), "range", r.ID, "move", r.Move.ID, "to", r.Move.To)
+}
+
+// proposeStep proposes a step of a range's move. One with an unknown outcome is logged once isTaken shows it.
+func (c *Coordinator) proposeStep(event string, id cluster.RangeID, isTaken func(shardmap.Range) bool,
+	command cluster.Command, fields ...any) {
+	switch err := c.tryPropose(event, command, fields...); {
+	case err == nil:
+		c.unconfirmed.Drop(id)
+	case errors.Is(err, transport.ErrOutcomeUnknown):
+		c.unconfirmed.Add(id, event, isTaken, fields...)
+	}
+}
+
 // propose proposes a command and logs what it did. It returns false if the command was rejected or may not be in the
 // log. A rejection means that the state has changed meanwhile, which the next Run sees.
 func (c *Coordinator) propose(event string, command cluster.Command, fields ...any) bool {
+	return c.tryPropose(event, command, fields...) == nil
+}
+
+// tryPropose is propose with the reason why the command may not be in the log.
+func (c *Coordinator) tryPropose(event string, command cluster.Command, fields ...any) error {
 	if c.leaderUnreached {
-		return false
+		return transport.ErrNotSent
 	}
 	if _, err := c.Session.Propose(command); err != nil {
 		c.leaderUnreached = session.IsLeaderUnreached(err)
 		if !errors.Is(err, cluster.ErrStale) && !errors.Is(err, cluster.ErrNotFound) {
 			slog.Warn("proposal failed: "+event, "error", err)
 		}
-		return false
+		return err
 	}
 	slog.Info(event, fields...)
-	return true
+	return nil
 }
--- a/cluster/member/coordinator/plan.go
+++ b/cluster/member/coordinator/plan.go
@@ -110,7 +110,9 @@
 	plan, number := rebalance.Coordinator(c.epoch), c.progress.Number
 	switch a.Kind {
 	case rebalance.ActionStart:
-		c.propose("move planned", by.PlanMove(a.Range, a.From, a.To), "range", a.Range, "from", a.From, "to", a.To)
+		isTaken := func(now shardmap.Range) bool { return now.Move.From == a.From && now.Move.To == a.To }
+		c.proposeStep("move planned", a.Range, isTaken, by.PlanMove(a.Range, a.From, a.To),
+			"range", a.Range, "from", a.From, "to", a.To)
 	case rebalance.ActionRollBack:
 		c.propose("move rolled back", by.RevertMove(a.Move), "move", a.Move, "reason", a.Reason)
 	case rebalance.ActionRecordState:
--- a/cluster/member/ownership/manager.go
+++ b/cluster/member/ownership/manager.go
@@ -12,6 +12,7 @@
 
 	"rowanlink/cluster"
 	"rowanlink/cluster/member/session"
+	"rowanlink/cluster/member/steplog"
 	"rowanlink/cluster/shardmap"
 	"rowanlink/webhook/api"
 )
@@ -49,7 +50,8 @@
 	shardMap      atomic.Pointer[shardmap.Map]
 	inactiveSince atomic.Int64 // by Clock, since when no session is open; api.Never while one is
 
-	reconcileMu sync.Mutex // one Reconcile at a time
+	reconcileMu sync.Mutex          // one Reconcile at a time
+	unconfirmed steplog.Unconfirmed // guarded by reconcileMu
 
 	// admissionMu is held for reading from the admission of a webhook until it is in the journal, and for writing
 	// while a range is closed.
--- a/cluster/member/ownership/reconcile.go
+++ b/cluster/member/ownership/reconcile.go
@@ -7,7 +7,9 @@
 
 	"rowanlink/cluster"
 	"rowanlink/cluster/member/session"
+	"rowanlink/cluster/member/steplog"
 	"rowanlink/cluster/shardmap"
+	"rowanlink/cluster/transport"
 )
 
 // Reconcile acquires, confirms, releases and clears by the shard map and the leases held. It is called whenever one of
@@ -19,13 +21,13 @@
 	if shardMap == nil {
 		return
 	}
-	p := &proposer{session: m.session}
+	p := &proposer{session: m.session, unconfirmed: &m.unconfirmed}
 	for _, r := range shardMap.Ranges {
 		m.reconcileRange(p, shardMap, r)
 	}
 	for grant, misplaced := range shardMap.MisplacedByGrant(m.LocalMember()) {
 		if m.local.CallsInFlightTo(misplaced) == 0 {
-			p.propose("misplaced destinations released", shardmap.Range{ID: grant.Range},
+			_ = p.propose("misplaced destinations released", shardmap.Range{ID: grant.Range},
 				shardmap.ConfirmPlacement(grant.Range, grant.Epoch, shardMap.Version))
 		}
 	}
@@ -37,6 +39,7 @@
 
 // reconcileRange acquires, confirms or releases one range.
 func (m *Manager) reconcileRange(p *proposer, shardMap *shardmap.Map, r shardmap.Range) {
+	p.unconfirmed.Confirm(r)
 	resource := cluster.RangeOwnerResource(r.ID)
 	epoch, held := m.session.Holds(resource)
 	switch {
@@ -47,9 +50,10 @@
 	case !held:
 		m.session.CancelAcquire(resource)
 	case r.Owner == m.Self && epoch > r.Epoch && r.Move.Step != shardmap.StepHandoff:
-		p.propose("range ownership confirmed", r, shardmap.ConfirmOwner(r.ID, m.Self, epoch, shardMap.Version))
+		_ = p.propose("range ownership confirmed", r, shardmap.ConfirmOwner(r.ID, m.Self, epoch, shardMap.Version))
 	case r.Move.Step == shardmap.StepHandoff && r.Move.To == m.Self:
-		p.propose("range ownership switched", r, shardmap.SwitchOwner(r.Move.ID, r.ID, m.Self, epoch))
+		isTaken := func(now shardmap.Range) bool { return now.Owner == m.Self }
+		p.proposeStep("range ownership switched", r, isTaken, shardmap.SwitchOwner(r.Move.ID, r.ID, m.Self, epoch))
 	}
 	if r.Move.Step == shardmap.StepSwitched {
 		m.clearMove(p, r)
@@ -103,22 +107,44 @@
 	move := r.Move
 	mustClear := move.From == m.Self && !move.SourceCleared || move.To == m.Self && !move.TargetCleared
 	if mustClear && m.local.InDoubt(move.ID) == 0 {
-		p.propose("move cleared", r, shardmap.ClearMove(move.ID, m.Self))
+		p.proposeStep("move cleared", r, m.isCleared(move), shardmap.ClearMove(move.ID, m.Self))
+	}
+}
+
+// isCleared returns whether a range shows that this member's side of a move was cleared.
+func (m *Manager) isCleared(move shardmap.Move) func(shardmap.Range) bool {
+	return func(now shardmap.Range) bool {
+		hasEnded := now.Move.ID != move.ID
+		return hasEnded ||
+			move.From == m.Self && now.Move.SourceCleared ||
+			move.To == m.Self && now.Move.TargetCleared
 	}
 }
 
 // proposer proposes commands until the first one without a leader's response. The others are left to the next Reconcile:
 // otherwise one Reconcile would wait for a time-out for each of many ranges while leases expire.
 type proposer struct {
-	session   *session.Session
-	unreached bool
+	session     *session.Session
+	unconfirmed *steplog.Unconfirmed
+	unreached   bool
+}
+
+// proposeStep is propose for a step of the range's move. One with an unknown outcome is logged once isTaken shows it.
+func (p *proposer) proposeStep(event string, r shardmap.Range, isTaken func(shardmap.Range) bool,
+	command cluster.Command) {
+	switch err := p.propose(event, r, command); {
+	case err == nil:
+		p.unconfirmed.Drop(r.ID)
+	case errors.Is(err, transport.ErrOutcomeUnknown):
+		p.unconfirmed.Add(r.ID, event, isTaken, "range", r.ID, "move", r.Move.ID)
+	}
 }
 
 // propose proposes a command for one range and logs it as event. A rejection means that the map has changed meanwhile:
-// the next Reconcile uses the newer one.
-func (p *proposer) propose(event string, r shardmap.Range, command cluster.Command) {
+// the next Reconcile uses the newer one. The error says why the command may have had no effect.
+func (p *proposer) propose(event string, r shardmap.Range, command cluster.Command) error {
 	if p.unreached {
-		return
+		return transport.ErrNotSent
 	}
 	if _, err := p.session.Propose(command); err != nil {
 		level := slog.LevelWarn
@@ -127,7 +153,8 @@
 		}
 		slog.Log(context.Background(), level, "proposal failed: "+event, "range", r.ID, "error", err)
 		p.unreached = session.IsLeaderUnreached(err)
-		return
+		return err
 	}
 	slog.Info(event, "range", r.ID, "move", r.Move.ID)
+	return nil
 }
