serving/member: PutReplicated has no addresses any more

Cause: departures go to the voters' disks by PushDurable now; only Leave is left, which names no addresses. Change: the parameter is gone. Its test, TestPutReplicated_ToNamedMembers, went with it: that only the named targets get an entry and count is checked where they are named now, in TestPutReplicated_ToTargetsOnly and _NeedsAMajorityOfDisks of serving/endpoints/exchange.

--- a/serving/endpoints/exchange/replication_test.go
+++ b/serving/endpoints/exchange/replication_test.go
@@ -93,6 +93,27 @@
 	}
 }
 
+// TestPutReplicated_ToTargetsOnly: an entry goes to each of the targets once, and to no other member.
+func TestPutReplicated_ToTargetsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newReplicatedExchange(works, nil)
+		var mutex sync.Mutex
+		calls := map[string]int{}
+		x.replicas.push = func(_ context.Context, address string, _ []gossip.Entry) error {
+			mutex.Lock()
+			defer mutex.Unlock()
+			calls[address]++
+			return nil
+		}
+		targets := quorum.Targets{Others: []string{"a", "b", "c"}, Quorum: 2}
+		require.NoError(t, x.PutReplicated(t.Context(), state.Endpoint{ID: "e"}, targets))
+		synctest.Wait()
+		assert.Equal(t, map[string]int{"a": 1, "b": 1, "c": 1}, calls)
+		targets.Others = nil
+		assert.True(t, errcode.NotAcknowledged.Is(x.PutReplicated(t.Context(), state.Endpoint{ID: "e"}, targets)))
+	})
+}
+
 // TestPutReplicated_ManyAtOnce: 1,000 endpoints that leave within a second are acknowledged within a tenth of a second,
 // also beside a stalled disk, in far fewer calls.
 func TestPutReplicated_ManyAtOnce(t *testing.T) {
--- a/serving/member/replication.go
+++ b/serving/member/replication.go
@@ -15,13 +15,13 @@
 const hedgeDelay = 120 * time.Millisecond
 
 // PutReplicated stores and gossips an entry, sends it to other live members at once, to core members first, and returns
-// when as many as copies have acknowledged that they have stored it. Only members at the addresses count, where any are
-// given. It fails with errcode.TooFewMembers where fewer are live, and with errcode.NotAcknowledged where too few have
-// acknowledged before ctx ended or all have been tried. The entry is gossiped in any case.
-func (s *Service) PutReplicated(ctx context.Context, entry gossip.Entry, addresses []string, copies int) error {
+// when as many as copies have acknowledged that they have it in memory. It fails with errcode.TooFewMembers where fewer
+// are live, and with errcode.NotAcknowledged where too few have acknowledged before ctx ended or all have been tried.
+// The entry is gossiped in any case.
+func (s *Service) PutReplicated(ctx context.Context, entry gossip.Entry, copies int) error {
 	targets := query(s, func(now time.Time, n *node) []gossip.Peer {
 		n.putLocal(now, entry)
-		return n.replicaTargets(addresses)
+		return n.replicaTargets()
 	})
 	if len(targets) < copies {
 		return errcode.TooFewMembers.With("%d of %d", len(targets), copies)
@@ -40,9 +40,9 @@
 	return pending.wait(calling, copies)
 }
 
-// replicaTargets returns the other live members, only those at the addresses where any are given: core members before
-// others, and those of the local region first. Members that are avoided come last.
-func (n *node) replicaTargets(addresses []string) []gossip.Peer {
+// replicaTargets returns the other live members: core members before others, and those of the local region first.
+// Members that are avoided come last.
+func (n *node) replicaTargets() []gossip.Peer {
 	self := n.members.Self()
 	live := slices.Clone(n.members.LiveMembers())
 	n.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
@@ -60,7 +60,7 @@
 	var avoided, targets []gossip.Peer
 	for _, member := range live {
 		switch peer := peerOf(member); {
-		case member.Name == self.Name, len(addresses) > 0 && !slices.Contains(addresses, member.Address):
+		case member.Name == self.Name:
 		case n.engine.IsAvoided(n.now, member.Name):
 			avoided = append(avoided, peer)
 		default:
--- a/serving/member/replication_test.go
+++ b/serving/member/replication_test.go
@@ -87,7 +87,7 @@
 					fakes := newFakeMembers(t, faults...)
 					ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 					defer cancel()
-					require.NoError(t, fakes.service.PutReplicated(ctx, replicated, nil, 2))
+					require.NoError(t, fakes.service.PutReplicated(ctx, replicated, 2))
 				})
 			}
 		}
@@ -98,41 +98,17 @@
 	fakes := newFakeMembers(t, acknowledges, fails, fails)
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
-	assert.True(t, errcode.NotAcknowledged.Is(fakes.service.PutReplicated(ctx, replicated, nil, 2)))
-	assert.True(t, errcode.TooFewMembers.Is(fakes.service.PutReplicated(ctx, replicated, nil, 4)))
+	assert.True(t, errcode.NotAcknowledged.Is(fakes.service.PutReplicated(ctx, replicated, 2)))
+	assert.True(t, errcode.TooFewMembers.Is(fakes.service.PutReplicated(ctx, replicated, 4)))
 	_, found := fakes.service.Get(gossip.TableEndpoints, "e")
 	assert.True(t, found, "it is gossiped all the same")
 }
 
-// TestPutReplicated_ToNamedMembers checks that only acknowledgements of the named members count.
-func TestPutReplicated_ToNamedMembers(t *testing.T) {
-	fakes := newFakeMembers(t, acknowledges, fails, acknowledges)
-	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
-	defer cancel()
-	addresses := map[string]string{}
-	for _, member := range fakes.service.Members() {
-		addresses[member.Name] = member.Address
-	}
-	var others []string
-	for name, address := range addresses {
-		if name != fakes.service.Self().Name {
-			others = append(others, address)
-		}
-	}
-	require.Len(t, others, 3)
-	require.NoError(t, fakes.service.PutReplicated(ctx, replicated, others, 2))
-	for _, address := range others {
-		only := []string{address}
-		assert.True(t, errcode.TooFewMembers.Is(fakes.service.PutReplicated(ctx, replicated, only, 2)))
-	}
-	assert.True(t, errcode.TooFewMembers.Is(fakes.service.PutReplicated(ctx, replicated, []string{"elsewhere:1"}, 1)))
-}
-
 func TestPutReplicated_EndsWithContext(t *testing.T) {
 	fakes := newFakeMembers(t, hangs, hangs)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	assert.True(t, errcode.NotAcknowledged.Is(fakes.service.PutReplicated(ctx, replicated, nil, 1)))
+	assert.True(t, errcode.NotAcknowledged.Is(fakes.service.PutReplicated(ctx, replicated, 1)))
 }
 
 func TestService_DoesNotBlockAfterClose(t *testing.T) {
@@ -144,7 +120,7 @@
 	assert.False(t, found)
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
-	assert.Error(t, fakes.service.PutReplicated(ctx, replicated, nil, 1))
+	assert.Error(t, fakes.service.PutReplicated(ctx, replicated, 1))
 }
 
 // TestPushDurable_NeedsTheReceiversDisk guards against a member that acknowledges a durable push from memory.
--- a/serving/member/service.go
+++ b/serving/member/service.go
@@ -252,5 +252,5 @@
 	if others == 0 {
 		return nil
 	}
-	return s.PutReplicated(ctx, left, nil, min(leaveAcknowledgements, others))
+	return s.PutReplicated(ctx, left, min(leaveAcknowledgements, others))
 }
--- a/serving/member/service_test.go
+++ b/serving/member/service_test.go
@@ -119,11 +119,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
 	entry = gossip.Entry{Table: gossip.TableEndpoints, Key: "e", Version: gossip.NewVersion(1, 0), Value: []byte{1}}
-	require.NoError(t, all[0].service.PutReplicated(ctx, entry, nil, 2))
+	require.NoError(t, all[0].service.PutReplicated(ctx, entry, 2))
 	got, ok := all[4].service.Get(gossip.TableEndpoints, "e")
 	assert.True(t, ok, "core members come first")
 	assert.Equal(t, entry.Value, got.Value)
-	err := all[0].service.PutReplicated(ctx, entry, nil, 9)
+	err := all[0].service.PutReplicated(ctx, entry, 9)
 	assert.True(t, errcode.TooFewMembers.Is(err))
 
 	assignment := singleton.Assignment{}
