serving/core: what is on disk already is confirmed without another write

Cause: on a slow disk an endpoint that repeats its call found its departure written anew each time, so that a disk of over 300 ms a transaction would never have confirmed one in time.

Change: the saver remembers which departures are on disk, until a write fails. The wait for a majority is 500 ms in place of 300; the endpoint waits a second.

--- a/serving/core/departures.go
+++ b/serving/core/departures.go
@@ -26,6 +26,7 @@
 type departure struct {
 	endpoint   state.Endpoint
 	departedAt time.Time // by the clock of this process; zero while it is draining
+	saved      bool      // it is on disk
 }
 
 func newDepartures() departures { return departures{byID: map[string]departure{}} }
@@ -53,6 +54,22 @@
 	return endpoint
 }
 
+// setSaved records whether the endpoints of a list, as far as they are the newest states, are on disk.
+func (d *departures) setSaved(list []state.Endpoint, saved bool) {
+	for _, endpoint := range list {
+		known, exists := d.byID[endpoint.ID]
+		if exists && endpoints.VersionOf(known.endpoint) == endpoints.VersionOf(endpoint) {
+			known.saved = saved
+			d.byID[endpoint.ID] = known
+		}
+	}
+}
+
+// isSaved reports whether the state of an endpoint, or a newer one, is on disk.
+func (d *departures) isSaved(endpoint state.Endpoint) bool {
+	return !d.isNewer(endpoint) && d.byID[endpoint.ID].saved
+}
+
 // contains reports whether the endpoint with an ID is known to accept no new requests.
 func (d *departures) contains(id string) bool {
 	_, exists := d.byID[id]
--- a/serving/core/departures_test.go
+++ b/serving/core/departures_test.go
@@ -50,6 +50,9 @@
 		table.ReceiveHeartbeat("e", endpoints.Heartbeat{Service: "plain", Address: "e:80", Sequence: 6})
 		require.NoError(t, s.persist(t.Context(), []state.Endpoint{savedEndpoint("e", "m", state.EndpointDraining)}))
 		assert.Equal(t, state.EndpointDraining, saved.saved["e"].State, "it is on disk before it is acknowledged")
+		calls := saved.calls
+		require.NoError(t, s.persist(t.Context(), []state.Endpoint{savedEndpoint("e", "m", state.EndpointDraining)}))
+		assert.Equal(t, calls, saved.calls, "it is on disk already")
 		time.Sleep(2 * saveInterval)
 		assert.Equal(t, state.EndpointDraining, saved.saved["e"].State, "the table has an older state")
 		assert.Contains(t, saved.saved, "earlier", "a snapshot of the table lacks it")
@@ -82,6 +85,7 @@
 				assert.True(t, errcode.NotPersisted.Is(s.persist(ctx, departed)))
 				time.Sleep(2 * time.Minute)
 				assert.NoError(t, s.persist(t.Context(), departed), "it works again")
+				assert.Contains(t, test.store.saved, "e")
 			})
 		})
 	}
--- a/serving/core/endpointsaver.go
+++ b/serving/core/endpointsaver.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,13 +13,9 @@
 	"rowanlink/serving/store"
 )
 
-const (
-	// saveInterval is the time between two saves of the table. Changes since the last one are lost in a power failure,
-	// but for those of endpoints that were persisted.
-	saveInterval = time.Second
-	// maxWaitingSaves bounds the calls of persist that wait for a disk that doesn't respond.
-	maxWaitingSaves = 8192
-)
+// saveInterval is the time between two saves of the table. Changes since the last one are lost in a power failure,
+// but for those of endpoints that were persisted.
+const saveInterval = time.Second
 
 // endpointStore is a copy of the endpoints on disk; store.EndpointStore implements it.
 type endpointStore interface {
@@ -65,34 +60,6 @@
 	}
 }
 
-// waitingSaves are the endpoints to be saved by the next transaction. It is safe for concurrent use.
-type waitingSaves struct {
-	mutex   sync.Mutex
-	list    []state.Endpoint
-	results []chan<- error // of the calls that wait for them
-}
-
-// add adds endpoints; false where too many calls wait already.
-func (w *waitingSaves) add(list []state.Endpoint, result chan<- error) bool {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	if len(w.results) == maxWaitingSaves {
-		return false
-	}
-	w.list = append(w.list, list...)
-	w.results = append(w.results, result)
-	return true
-}
-
-// take removes and returns all.
-func (w *waitingSaves) take() (list []state.Endpoint, results []chan<- error) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	list, results = w.list, w.results
-	w.list, w.results = nil, nil
-	return list, results
-}
-
 // persist saves endpoints that accept no new requests and returns once they would survive a loss of power. Concurrent
 // calls share transactions. Errors are errcode.NotPersisted: the endpoints may or may not have been saved.
 func (s *endpointSaver) persist(ctx context.Context, list []state.Endpoint) error {
@@ -147,19 +114,23 @@
 			s.departures.record(time.Now(), endpoint)
 		}
 	}
+	s.departures.setSaved(saved, true)
 }
 
-// saveWaiting saves all endpoints that wait in one transaction, and answers the calls.
+// saveWaiting saves all endpoints that wait in one transaction, and answers the calls. What is on disk already isn't
+// written again: on a slow disk an endpoint that repeats its call is answered at once.
 func (s *endpointSaver) saveWaiting() {
 	list, results := s.waiting.take()
-	if len(results) == 0 {
-		return
-	}
 	changes := store.EndpointChanges{}
 	for _, endpoint := range list {
-		changes.Changed = append(changes.Changed, s.departures.record(time.Now(), endpoint))
+		if !s.departures.isSaved(endpoint) {
+			changes.Changed = append(changes.Changed, s.departures.record(time.Now(), endpoint))
+		}
+	}
+	var err error
+	if len(changes.Changed) > 0 {
+		err = s.write(changes)
 	}
-	err := s.write(changes)
 	if err != nil {
 		err = errcode.NotPersisted.With("%v", err)
 	}
@@ -192,14 +163,16 @@
 	}
 }
 
-// write writes changes. After an error the next save of the table is a snapshot.
+// write writes changes. After an error it is unknown what is on disk, and the next save of the table is a snapshot.
 func (s *endpointSaver) write(changes store.EndpointChanges) error {
 	err := s.store.Save(changes)
 	if err != nil {
 		s.position = 0
+		s.departures.setSaved(s.departures.all(), false)
 		s.logFailure(err)
 		return err
 	}
+	s.departures.setSaved(changes.Changed, true)
 	s.failing = false
 	return nil
 }
--- a/serving/operator/operator.go
+++ b/serving/operator/operator.go
@@ -20,8 +20,8 @@
 const (
 	// changeTimeout bounds the work on an operator's request.
 	changeTimeout = 2500 * time.Millisecond
-	// replicationTimeout bounds the wait until a majority has stored an endpoint's state. The endpoint waits a second.
-	replicationTimeout = 300 * time.Millisecond
+	// replicationTimeout bounds the wait until a majority has an endpoint's state on disk. The endpoint waits a second.
+	replicationTimeout = 500 * time.Millisecond
 	readHeaderTimeout  = 3 * time.Second
 	requestTimeout     = 20 * time.Second // to read a request, and to write its response
 	idleTimeout        = 60 * time.Second
--- a/serving/store/endpointstore.go
+++ b/serving/store/endpointstore.go
@@ -43,8 +43,9 @@
 	Snapshot bool     // Changed is the complete list
 }
 
-// EndpointStore keeps a copy of the table of endpoints. It may be out of date by what has changed since the last save,
-// and serves only to make a restart faster. It is safe for concurrent use.
+// EndpointStore keeps a copy of the table of endpoints. Of endpoints that accept no new requests it has what was
+// acknowledged; of all others it may be out of date by what has changed since the last save, and serves only to make a
+// restart faster. It is safe for concurrent use.
 type EndpointStore struct{ file *actor.Actor[endpointFile] }
 
 // endpointFile is owned by the goroutine that uses the disk.
@@ -188,7 +189,7 @@
 	return nil
 }
 
-// remove deletes a corrupt file: it was only a copy.
+// remove deletes a corrupt file. What only it had counts as lost with the disk; other members have copies.
 func (f *endpointFile) remove(cause error) error {
 	event.EndpointStoreRemoved.Log(f.log).Err(cause).Send()
 	f.close()
