test/integration/serving: random faults with endpoints that leave

Cause: TestChaos had no endpoint that leaves, and killed no two cores at once.

Change: two faults more: an endpoint leaves (by a sign-off, or by a report of draining that nothing follows), and that followed by one to three kills of all cores. At the end nothing may have reached those later than drain_ms while no process had come back within contact_ms.

--- a/test/integration/serving/chaos_test.go
+++ b/test/integration/serving/chaos_test.go
@@ -33,6 +33,9 @@
 	t         *testing.T
 	traffic   *traffic
 	evacuated string
+
+	departures  []chaosDeparture
+	disruptions []time.Time // when processes came back
 }
 
 // chaosFault is a kind of fault. It is over when inject returns, since only one core may be down at a time.
@@ -56,6 +59,11 @@
 	{"settings are reloaded", func(h *chaosRun) { h.pickNode(h.nodes()).reload() }},
 	{"the configuration changes", func(h *chaosRun) { h.changeConfiguration() }},
 	{"an evacuation begins or ends", func(h *chaosRun) { h.toggleEvacuation() }},
+	{"an endpoint leaves", func(h *chaosRun) { h.departEndpoint() }},
+	{"an endpoint leaves and all cores are killed", func(h *chaosRun) {
+		h.departEndpoint()
+		h.restartCores()
+	}},
 }
 
 // TestChaos runs ROWAN_HUNT seeds, from ROWAN_SEED on or, without it, from a new one. Without ROWAN_HUNT it is a short
@@ -78,7 +86,8 @@
 
 // runChaos runs one seed.
 func runChaos(t *testing.T, seed uint64, faults int) {
-	h := &chaosRun{cluster: startCluster(t), Rand: rand.New(rand.NewPCG(seed, 1)), t: t}
+	c := startClusterWithHeartbeats(t, func(string, int) string { return "" }, chaosHeartbeatInterval)
+	h := &chaosRun{cluster: c, Rand: rand.New(rand.NewPCG(seed, 1)), t: t}
 	t.Logf("seed %d, %d faults", seed, faults)
 	h.traffic = h.startTraffic()
 	for range faults {
@@ -89,6 +98,7 @@
 		next.inject(h)
 	}
 	h.traffic.awaitServed(maxServedBetween)
+	h.checkDepartures()
 	h.traffic.stopAndCheck()
 	h.checkState()
 	h.ledger.check(t)
@@ -186,8 +196,9 @@
 	return h.cores[0]
 }
 
-// awaitRecovered waits until a process works again.
+// awaitRecovered waits until a process that has come back works again.
 func (h *chaosRun) awaitRecovered(n *node) {
+	h.disruptions = append(h.disruptions, time.Now())
 	switch n.program {
 	case programProxy:
 		h.eventually(n.name+" is ready", func() bool { return h.isReady(n) })
