--- a/test/integration/serving/compatibility_test.go
+++ b/test/integration/serving/compatibility_test.go
@@ -17,6 +17,8 @@
 const (
 	// earlierRelease is the commit of the release that the present programs must work with.
 	earlierRelease = "63a0b9110229a8d9e45402ca15e9b304a96f89ef"
+	// releaseBeforeDepartures is the newest release whose disks have no departed endpoints.
+	releaseBeforeDepartures = "2612fb5437ef529f2cc1d21f59b30160119c8068"
 	// repositoryRoot is the folder of go.mod, relative to this package.
 	repositoryRoot = "../../.."
 	// servedPerPhase is how many requests are served before and after each change of the configuration.
@@ -64,6 +66,32 @@
 	}
 }
 
+// TestCompatibility_Disks: the present programs start on the disks of the release before the departures were on them,
+// and that release starts on theirs. Nothing acknowledged is lost by the change.
+func TestCompatibility_Disks(t *testing.T) {
+	earlier := buildRelease(t, releaseBeforeDepartures)
+	c := startClusterWithPrograms(t, earlier)
+	for round, folder := range []string{"", earlier} {
+		c.configure(c.version+1, fmt.Sprint("round", round))
+		require.NoError(t, c.stocks[round].Deregister(t.Context()))
+		for _, n := range c.nodes() {
+			n.kill()
+		}
+		for _, n := range c.nodes() {
+			n.programs = folder
+			n.start()
+		}
+		c.awaitReady()
+		for _, n := range c.cores {
+			c.assertConfiguration(n, string(configurationWith(c.version, fmt.Sprint("round", round))))
+		}
+		load := c.startTraffic()
+		load.awaitServed(servedPerPhase)
+		load.stopAndCheck()
+	}
+	c.ledger.check(t)
+}
+
 // isInFirstGroup reports whether a program belongs to firstGroup on the machine whose address ends in a number.
 func isInFirstGroup(program string, number int) bool {
 	first := firstProxyNumber
