serving/agent: the test of an unconfirmed record finds its mutant always

Cause: all voters of the test answer at the same moment of virtual time. The code is right.

Change: voters with an older revision answer a little sooner, so that a minority's answer is an outdated one.

--- a/serving/agent/confirmation_test.go
+++ b/serving/agent/confirmation_test.go
@@ -20,12 +20,13 @@
 // errUnreachable is the error of a call to a voter that can't be reached.
 var errUnreachable = errors.New("unreachable")
 
-// fakeVoters answer a query for their newest revision after 5 ms; calls to an address that is missing fail.
+// fakeVoters answer a query for their newest revision after 5 ms, those with an older revision a little sooner than
+// others; calls to an address that is missing fail.
 type fakeVoters map[string]register.Vote
 
 func (f fakeVoters) query(_ context.Context, address string, request *register.QueryRequest) (*register.Vote, error) {
-	time.Sleep(5 * time.Millisecond)
 	vote, ok := f[address]
+	time.Sleep(5*time.Millisecond + time.Duration(vote.Revision)*100*time.Microsecond)
 	if !ok || !request.RevisionOnly {
 		return nil, errUnreachable
 	}
