test/fake/portalloc: a hanging port waits no longer for a queue that others have filled

Cause: Hang listens with a queue of one and fills it by a connection of its own. Where a member connects between the two, the queue is full already, and the filler's SYN is dropped until the kernel gives up after two minutes. A race of the harness, not of the product.

Change: no answer within 0.5 s means that the queue is full, which is what Hang is for. A refused connection is still an error.

--- a/test/fake/portalloc/portalloc.go
+++ b/test/fake/portalloc/portalloc.go
@@ -17,6 +17,9 @@
 
 const closed = -1 // in place of a file descriptor
 
+// fillTimeout is the wait for the connection that fills a queue. One without an answer by then never gets any.
+const fillTimeout = 500 * time.Millisecond
+
 // Port is a reserved port. A process that binds with SO_REUSEADDR, as Go's listeners do, may listen on it.
 type Port struct {
 	Addr string
@@ -81,7 +84,17 @@
 // partition.
 type hangingListener struct {
 	file   *os.File
-	filler net.Conn // fills the queue
+	filler net.Conn // fills the queue; nil if another connection was faster
+}
+
+// fill fills the queue with a connection, unless another one has.
+func (h *hangingListener) fill(address string) (err error) {
+	dialer := &net.Dialer{Timeout: fillTimeout}
+	h.filler, err = dialer.DialContext(context.Background(), "tcp", address)
+	if os.IsTimeout(err) {
+		return nil
+	}
+	return err
 }
 
 func (h *hangingListener) close() {
@@ -113,7 +126,7 @@
 		}
 		p.hanging = &hangingListener{file: os.NewFile(uintptr(fd), "hung")}
 		if err = unix.Listen(fd, 0); err == nil {
-			p.hanging.filler, err = (&net.Dialer{}).DialContext(context.Background(), "tcp", p.Addr)
+			err = p.hanging.fill(p.Addr)
 		}
 		if err != nil {
 			p.stopHanging()
