cluster: a member logs that it is isolated; the test of partitions allows what that means

That is allowed by docs/cluster.md: "an owner partitioned or away | not guaranteed: ForkCopy: an idempotent webhook may run at both", and "ServeIsolated: own session expired for more than a lease TTL: called within an even share of the rate". So the check is narrowed to it: an overlap of an idempotent webhook's calls by two members is a rule of its own, allowed in the partitions of this test.

--- a/cluster/member/ownership/manager.go
+++ b/cluster/member/ownership/manager.go
@@ -49,6 +49,7 @@
 
 	shardMap      atomic.Pointer[shardmap.Map]
 	inactiveSince atomic.Int64 // by Clock, since when no session is open; api.Never while one is
+	isolated      atomic.Bool  // at the last TrackSession
 
 	reconcileMu sync.Mutex          // one Reconcile at a time
 	unconfirmed steplog.Unconfirmed // guarded by reconcileMu
@@ -96,6 +97,25 @@
 	} else {
 		m.inactiveSince.CompareAndSwap(int64(api.Never), int64(m.Clock()))
 	}
+	m.logIsolation()
+}
+
+// logIsolation logs when this member begins or ends to call for webhooks whose owner it can't reach.
+func (m *Manager) logIsolation() {
+	isolated := m.isIsolated()
+	if m.isolated.Swap(isolated) == isolated {
+		return
+	}
+	if isolated {
+		slog.Warn("isolation suspected: webhooks whose owner isn't reached are called from here", "member", m.Self)
+		return
+	}
+	slog.Info("isolation over", "member", m.Self)
+}
+
+// isIsolated reports whether possibly no range has a serving owner.
+func (m *Manager) isIsolated() bool {
+	return shardmap.IsolationSuspected(api.Micros(m.inactiveSince.Load()), m.Clock(), m.LeaseTTL)
 }
 
 // LocalMember returns this member as the shard map's rules see it: the leases that it holds and whether it is isolated.
@@ -103,7 +123,7 @@
 	return shardmap.LocalMember{
 		Member:    m.Self,
 		HeldEpoch: m.session.Holds,
-		Isolated:  shardmap.IsolationSuspected(api.Micros(m.inactiveSince.Load()), m.Clock(), m.LeaseTTL),
+		Isolated:  m.isIsolated(),
 	}
 }
 
--- a/test/checker/deliverycheck/check.go
+++ b/test/checker/deliverycheck/check.go
@@ -16,6 +16,7 @@
 	Lost            Rule = "lost"             // accepted, and neither delivered nor reported to have ended
 	DuplicateEffect Rule = "duplicate effect" // more effects than the event type allows, or one after it was reported to have none
 	Overlap         Rule = "overlap"          // called while another call with it is in flight
+	ForkOverlap     Rule = "fork overlap"     // the same of an idempotent one, by another member than the first
 	Order           Rule = "order"            // webhooks of one key out of order
 	RetryAfter      Rule = "retry-after"      // called before a Retry-After has passed
 	Draining        Rule = "draining"         // called after the notification that the endpoint drains
--- a/test/checker/deliverycheck/checker_test.go
+++ b/test/checker/deliverycheck/checker_test.go
@@ -120,11 +120,21 @@
 			s.submit(0, "a", "status", 202)
 			s.call(1, 9, "m1", "a")
 			s.call(5, 6, "m2", "a")
-		}, "[overlap]"},
+		}, "[fork overlap]"},
 		{"a call after one that never ends", func(s scenario) {
 			s.submit(0, "a", "status", 202)
 			s.call(1, 0, "m1", "a", "in flight")
 			s.call(5, 6, "m2", "a")
+		}, "[fork overlap]"},
+		{"two overlapping calls of one member", func(s scenario) {
+			s.submit(0, "a", "status", 202)
+			s.call(1, 9, "m1", "a")
+			s.call(5, 6, "m1", "a")
+		}, "[overlap]"},
+		{"two overlapping calls of what may run once", func(s scenario) {
+			s.submit(0, "a", "charge", 202)
+			s.call(1, 9, "m1", "a", "rejected")
+			s.call(5, 6, "m2", "a")
 		}, "[overlap]"},
 		{"in order, with a retry", func(s scenario) {
 			s.submit(0, "a", "ride", 202, "k")
