serving: proxies have applied an endpoint's end before it is acknowledged

What callers saw: an endpoint signed off (or said `closing`) and got 200, and its requests went on for as long as no core machine ran.

Cause: between the acknowledgement and the push to the agents lie 20 ms. A kill of all cores in that time leaves the end on their disks, where nobody else can read it: proxies follow their agents, and these know nothing.

Change: beside the disks of a majority of the voters, the member that acknowledges sends the end to all live agents, and each confirms it once its proxy's next poll shows that it has applied it (gossip.Message, field 6; agents of earlier versions confirm what they have in memory). An agent that hasn't confirmed is left to gossip for 5 s, so that a suspended proxy delays one acknowledgement and not all. Ends for the same agent share calls, one at a time.

The mutant "acknowledges from memory" names the same guard at its new place.

Log lines have milliseconds and say how long disks and proxies took (428).

--- a/serving/agent/publisher.go
+++ b/serving/agent/publisher.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rowanlink/serving/endpoints"
+	"rowanlink/serving/gossip"
 	"rowanlink/serving/state"
 	"rowanlink/serving/subscription"
 )
@@ -18,6 +19,8 @@
 	Merge(now time.Time, endpoint state.Endpoint) bool
 	// ChangesSince returns what has changed since a position.
 	ChangesSince(now time.Time, since uint64) endpoints.Delta
+	// ChangePosition returns the position of an endpoint's newest change, and whether its version is that new.
+	ChangePosition(id string, version gossip.Version) (position uint64, current bool)
 	// Get returns an endpoint.
 	Get(now time.Time, id string) (state.Endpoint, bool)
 	// Sweep removes endpoints that departed long ago.
@@ -46,6 +49,8 @@
 	position    uint64
 	checkpoints [checkpointsRetained]checkpoint // ring, by position
 	changed     chan struct{}                   // closed, and replaced, at each change
+	applied     checkpoint                      // of the proxy's last poll: what it has applied
+	appliedNews chan struct{}                   // closed, and replaced, at each change of applied
 }
 
 func newPublisher(incarnation uint64, endpoints endpointTable) *publisher {
@@ -54,6 +59,7 @@
 		endpoints:   endpoints,
 		loads:       newLoadTable(),
 		changed:     make(chan struct{}),
+		appliedNews: make(chan struct{}),
 	}
 }
 
--- a/serving/agent/run.go
+++ b/serving/agent/run.go
@@ -56,6 +56,7 @@
 		return err
 	}
 	a := newAgent(options.Settings, options.Log, members, newEndpointTable(options.Settings))
+	members.SetApplier(a.awaitApplied)
 	go a.confirmRecord(runContext, register.QueryOverRPC(client))
 	introspect.Serve(innerMux, a.report)
 	innerMux.Handle(metrics.Path, metrics.Handler(introspect.MetricsWriter(a.report)))
--- a/serving/agent/subscriptionserver.go
+++ b/serving/agent/subscriptionserver.go
@@ -37,7 +37,10 @@
 
 // watch implements subscription.Watch.
 func (s *subscriptionServer) watch(ctx context.Context, request *subscription.Request) (*subscription.Response, error) {
-	s.stateActor.Send(func(owned *agentState) { owned.proxy.pollOpened(s.now(), request) })
+	s.stateActor.Send(func(owned *agentState) {
+		owned.proxy.pollOpened(s.now(), request)
+		owned.updates.recordApplied(request.Since)
+	})
 	s.announceProxy()
 	s.forwardObservations(request.Observations)
 	defer func() {
--- a/serving/endpoints/changes.go
+++ b/serving/endpoints/changes.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"rowanlink/serving/gossip"
 	"rowanlink/serving/state"
 )
 
@@ -33,6 +34,16 @@
 // Position returns the position of the newest change.
 func (t *Table) Position() uint64 { return t.position }
 
+// ChangePosition returns the position of the newest change of an endpoint, and whether its version is as new as the given
+// one. An endpoint that isn't in the table, as it departed long ago, has changed at position 0.
+func (t *Table) ChangePosition(id string, version gossip.Version) (position uint64, current bool) {
+	e, known := t.entries[id]
+	if !known {
+		return 0, !t.removed.byID[id].version.Less(version)
+	}
+	return e.changePosition, !VersionOf(e.endpoint).Less(version)
+}
+
 // Delta is what has changed in a table since a position.
 type Delta struct {
 	Changed  []state.Endpoint // as they are now, ordered by ID
--- /dev/null
+++ b/serving/endpoints/exchange/agentnotifier_test.go
@@ -0,0 +1,106 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rowanlink/serving/gossip"
+	"rowanlink/serving/quorum"
+	"rowanlink/serving/state"
+)
+
+// applyTime is what an agent that works needs until its proxy has applied an entry.
+const applyTime = 30 * time.Millisecond
+
+// newNotifyingExchange returns an exchange whose disks work and whose agents, by address, respond as given.
+func newNotifyingExchange(agents map[string]diskState) *Exchange {
+	x := newReplicatedExchange(works, map[string]diskState{"a": works, "b": works})
+	f := x.gossip.(*fakeGossip)
+	for address := range agents {
+		f.live = append(f.live, state.Member{Name: address, Address: address, Role: state.RoleAgent})
+	}
+	f.live = append(f.live, state.Member{Name: "core-2", Address: "a", Role: state.RoleCore})
+	f.pushApplied = func(ctx context.Context, address string, _ []gossip.Entry) error {
+		switch agents[address] {
+		case failing:
+			return errors.New("connection refused")
+		case stalled:
+			<-ctx.Done()
+			return ctx.Err()
+		default:
+			time.Sleep(applyTime)
+			return nil
+		}
+	}
+	return x
+}
+
+// depart replicates a departure and returns how long that took.
+func depart(t *testing.T, x *Exchange, id string) time.Duration {
+	t.Helper()
+	begun := time.Now()
+	targets := quorum.Targets{Others: []string{"a", "b"}, Local: true, Quorum: 2}
+	require.NoError(t, x.PutReplicated(t.Context(), state.Endpoint{ID: id, State: state.EndpointDeparted}, targets))
+	return time.Since(begun)
+}
+
+// TestPutReplicated_WaitsForProxies guards against an acknowledgement of what only core members know: while none of them
+// runs, proxies would go on sending to the endpoint.
+func TestPutReplicated_WaitsForProxies(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		agents       map[string]diskState
+		first, later time.Duration
+	}{
+		{"all apply it", map[string]diskState{"p": works, "q": works}, applyTime, applyTime},
+		{"one is down", map[string]diskState{"p": works, "q": failing}, applyTime, applyTime},
+		{"one is suspended", map[string]diskState{"p": works, "q": stalled}, agentTimeout, applyTime},
+		{"all are suspended", map[string]diskState{"p": stalled, "q": stalled}, agentTimeout, diskTime},
+		{"there are none", nil, diskTime, diskTime},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newNotifyingExchange(test.agents)
+				assert.Equal(t, test.first, depart(t, x, "e1"))
+				assert.Equal(t, test.later, depart(t, x, "e2"), "an agent that hasn't confirmed isn't waited for")
+				time.Sleep(agentSkipTime)
+				assert.Equal(t, test.first, depart(t, x, "e3"), "it is waited for again")
+				time.Sleep(time.Second) // the calls end
+				synctest.Wait()
+				assert.Empty(t, x.agents.sender.queues)
+			})
+		})
+	}
+}
+
+// TestPutReplicated_ManyProxies: 1,000 endpoints that leave within a second are acknowledged in time beside 300 agents,
+// which get at most one call at a time each.
+func TestPutReplicated_ManyProxies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		agents := map[string]diskState{}
+		for i := range 300 {
+			agents[fmt.Sprint("agent-", i)] = works
+		}
+		x := newNotifyingExchange(agents)
+		calls := make(chan string, 100_000)
+		push := x.agents.sender.push
+		x.agents.sender.push = func(ctx context.Context, address string, entries []gossip.Entry) error {
+			calls <- address
+			return push(ctx, address, entries)
+		}
+		for i := range 1000 {
+			go func() { assert.LessOrEqual(t, depart(t, x, fmt.Sprint("e", i)), 2*applyTime) }()
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.LessOrEqual(t, len(calls), 300*(int(time.Second/applyTime)+2))
+	})
+}
--- a/serving/endpoints/exchange/replicasender.go
+++ b/serving/endpoints/exchange/batchsender.go
@@ -8,26 +8,30 @@
 	"rowanlink/serving/gossip"
 )
 
-const (
-	// maxBatchEntries bounds the entries of one call.
-	maxBatchEntries = 256
-	// maxCallsPerReplica is the number of concurrent calls to one replica. Entries that come meanwhile share the next.
-	maxCallsPerReplica = 2
-	// replicaCallTimeout bounds a call to a replica.
-	replicaCallTimeout = time.Second
-)
+// maxBatchEntries bounds the entries of one call.
+const maxBatchEntries = 256
+
+// pushFunc sends entries to the member at an address, host:port, and returns once that has confirmed them.
+type pushFunc func(ctx context.Context, address string, entries []gossip.Entry) error
 
-// replicaSender sends entries to replicas. Entries for the same replica share calls, so that many at once cost few. It
-// is safe for concurrent use.
-type replicaSender struct {
-	push func(ctx context.Context, address string, entries []gossip.Entry) error
+// batchSender sends entries to members. Entries for the same member share calls, so that many at once cost few. It is
+// safe for concurrent use.
+type batchSender struct {
+	push    pushFunc
+	options batchOptions
+
+	mutex  sync.Mutex            // guards the fields below
+	queues map[string]*sendQueue // by address; only of members with calls in flight
+}
 
-	mutex  sync.Mutex               // guards the fields below
-	queues map[string]*replicaQueue // by address; only of replicas with calls in flight
+// batchOptions bounds the calls of a batchSender.
+type batchOptions struct {
+	maxCalls    int           // concurrent, to one member. Entries that come meanwhile share the next call
+	callTimeout time.Duration // of one call
 }
 
-// replicaQueue has the entries that wait for a call to one replica.
-type replicaQueue struct {
+// sendQueue has the entries that wait for a call to one member.
+type sendQueue struct {
 	waiting []queuedEntry
 	calls   int // in flight
 }
@@ -49,31 +53,31 @@
 	}
 }
 
-func newReplicaSender(push func(ctx context.Context, address string, entries []gossip.Entry) error) *replicaSender {
-	return &replicaSender{push: push, queues: map[string]*replicaQueue{}}
+func newBatchSender(push pushFunc, options batchOptions) *batchSender {
+	return &batchSender{push: push, options: options, queues: map[string]*sendQueue{}}
 }
 
-// send sends an entry to a replica, and its result to a channel that must have room for it. There is no result if ctx
+// send sends an entry to a member, and its result to a channel that must have room for it. There is no result if ctx
 // ends before the entry is sent.
-func (s *replicaSender) send(ctx context.Context, address string, entry gossip.Entry, result chan<- error) {
+func (s *batchSender) send(ctx context.Context, address string, entry gossip.Entry, result chan<- error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	queue, exists := s.queues[address]
 	if !exists {
-		queue = &replicaQueue{}
+		queue = &sendQueue{}
 		s.queues[address] = queue
 	}
 	queue.waiting = append(queue.waiting, queuedEntry{entry: entry, done: ctx.Done(), result: result})
-	if queue.calls == maxCallsPerReplica {
+	if queue.calls == s.options.maxCalls {
 		return
 	}
 	queue.calls++
 	go s.sendWaiting(context.WithoutCancel(ctx), address, queue)
 }
 
-// sendWaiting makes calls until no entry waits. They go on after the callers have left: a replica that is late gets the
+// sendWaiting makes calls until no entry waits. They go on after the callers have left: a member that is late gets the
 // entries all the same.
-func (s *replicaSender) sendWaiting(ctx context.Context, address string, queue *replicaQueue) {
+func (s *batchSender) sendWaiting(ctx context.Context, address string, queue *sendQueue) {
 	for {
 		batch := s.takeBatch(address, queue)
 		if len(batch) == 0 {
@@ -87,7 +91,7 @@
 }
 
 // takeBatch returns the entries of the next call. Where there are none, it ends the caller's turn.
-func (s *replicaSender) takeBatch(address string, queue *replicaQueue) (batch []queuedEntry) {
+func (s *batchSender) takeBatch(address string, queue *sendQueue) (batch []queuedEntry) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	taken := 0
@@ -112,8 +116,8 @@
 }
 
 // call sends a batch.
-func (s *replicaSender) call(ctx context.Context, address string, batch []queuedEntry) error {
-	ctx, cancel := context.WithTimeout(ctx, replicaCallTimeout)
+func (s *batchSender) call(ctx context.Context, address string, batch []queuedEntry) error {
+	ctx, cancel := context.WithTimeout(ctx, s.options.callTimeout)
 	defer cancel()
 	entries := make([]gossip.Entry, 0, len(batch))
 	for _, queued := range batch {
--- a/serving/endpoints/exchange/exchange.go
+++ b/serving/endpoints/exchange/exchange.go
@@ -27,6 +27,7 @@
 type Gossip interface {
 	Put(entry gossip.Entry)
 	PushDurable(ctx context.Context, address string, entries []gossip.Entry) error
+	PushApplied(ctx context.Context, address string, entries []gossip.Entry) error
 	Subscribe(table gossip.TableID, call func(gossip.Entry))
 	Members() []state.Member // those that are live
 	Self() state.Member
@@ -38,7 +39,8 @@
 	gossip   Gossip
 	table    *endpoints.SharedTable
 	persist  func(ctx context.Context, list []state.Endpoint) error
-	replicas *replicaSender
+	replicas *batchSender
+	agents   *agentNotifier
 	log      *zerolog.Logger
 }
 
@@ -65,7 +67,8 @@
 		gossip:   members,
 		table:    endpoints.Start(tableOptions, time.Now),
 		persist:  options.Persist,
-		replicas: newReplicaSender(members.PushDurable),
+		replicas: newBatchSender(members.PushDurable, replicaCalls),
+		agents:   newAgentNotifier(members.Members, members.PushApplied),
 		log:      options.Log,
 	}
 	members.Subscribe(gossip.TableEndpoints, x.merge)
--- a/serving/endpoints/exchange/exchange_test.go
+++ b/serving/endpoints/exchange/exchange_test.go
@@ -33,6 +33,7 @@
 	holdsRole   bool
 	subscriber  func(gossip.Entry)
 	pushDurable func(ctx context.Context, address string, entries []gossip.Entry) error
+	pushApplied func(ctx context.Context, address string, entries []gossip.Entry) error
 
 	mutex sync.Mutex
 	put   []gossip.Entry
@@ -56,6 +57,10 @@
 	return f.pushDurable(ctx, address, entries)
 }
 
+func (f *fakeGossip) PushApplied(ctx context.Context, address string, entries []gossip.Entry) error {
+	return f.pushApplied(ctx, address, entries)
+}
+
 func (f *fakeGossip) Subscribe(_ gossip.TableID, call func(gossip.Entry)) { f.subscriber = call }
 
 func (f *fakeGossip) Members() []state.Member { return f.live }
--- a/serving/endpoints/exchange/replication.go
+++ b/serving/endpoints/exchange/replication.go
@@ -2,23 +2,52 @@
 
 import (
 	"context"
+	"time"
 
 	"rowanlink/serving/endpoints"
 	"rowanlink/serving/errcode"
+	"rowanlink/serving/event"
 	"rowanlink/serving/gossip"
 	"rowanlink/serving/quorum"
 	"rowanlink/serving/state"
 )
 
+// replicaCalls bounds the calls to a replica. The second one may begin while the disk is busy with the first.
+var replicaCalls = batchOptions{maxCalls: 2, callTimeout: time.Second}
+
 // PutReplicated gossips an endpoint and returns once it is on the disks of a majority of the voters, so that neither
-// the end of all processes nor a loss of power undoes it. It fails with errcode.NotAcknowledged where that can't be
-// reached or isn't before ctx ends. The endpoint is sent to all targets and gossiped in any case.
+// the end of all processes nor a loss of power undoes it, and the proxies have applied it, so that it holds however long
+// no core member runs. The wait for the proxies is bounded by agentTimeout: one that is suspended or unreachable gets
+// the endpoint by gossip. It fails with errcode.NotAcknowledged where the disks can't be reached or don't confirm before
+// ctx ends. The endpoint is sent to all targets and gossiped in any case.
 func (x *Exchange) PutReplicated(ctx context.Context, endpoint state.Endpoint, targets quorum.Targets) error {
 	entry, err := encodeEntry(endpoint)
 	if err != nil {
 		return err
 	}
+	begun := time.Now()
 	x.gossip.Put(entry)
+	notified := x.agents.start(ctx, entry)
+	if err := x.storeReplicated(ctx, endpoint, entry, targets); err != nil {
+		notified.cancel()
+		return err
+	}
+	stored := time.Since(begun)
+	unconfirmed := notified.wait()
+	event.EndpointReplicated.Log(x.log).
+		Str("endpoint", endpoint.ID).
+		Dur("stored_ms", stored).
+		Dur("applied_ms", time.Since(begun)).
+		Int("agents", len(notified.pending)).
+		Int("unconfirmed", unconfirmed).
+		Send()
+	return nil
+}
+
+// storeReplicated sends an endpoint to all targets and returns once a quorum of them has it on disk.
+func (x *Exchange) storeReplicated(
+	ctx context.Context, endpoint state.Endpoint, entry gossip.Entry, targets quorum.Targets,
+) error {
 	results := make(chan error, len(targets.Others)+1)
 	copies := len(targets.Others)
 	if targets.Local {
--- a/serving/endpoints/exchange/replication_test.go
+++ b/serving/endpoints/exchange/replication_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -46,6 +47,7 @@
 
 // newReplicatedExchange returns an exchange whose own disk and whose replicas' disks respond as given.
 func newReplicatedExchange(local diskState, others map[string]diskState) *Exchange {
+	log := zerolog.Nop()
 	f := &fakeGossip{subscriber: func(gossip.Entry) {}}
 	f.pushDurable = func(ctx context.Context, address string, _ []gossip.Entry) error {
 		return others[address].store(ctx)
@@ -53,7 +55,9 @@
 	return &Exchange{
 		gossip:   f,
 		persist:  func(ctx context.Context, _ []state.Endpoint) error { return local.store(ctx) },
-		replicas: newReplicaSender(f.PushDurable),
+		replicas: newBatchSender(f.PushDurable, replicaCalls),
+		agents:   newAgentNotifier(f.Members, f.PushApplied),
+		log:      &log,
 	}
 }
 
@@ -87,7 +91,7 @@
 				} else {
 					assert.True(t, errcode.NotAcknowledged.Is(err), "%v", err)
 				}
-				time.Sleep(replicaCallTimeout) // the calls to a stalled disk end
+				time.Sleep(replicaCalls.callTimeout) // the calls to a stalled disk end
 			})
 		})
 	}
@@ -138,7 +142,7 @@
 		}
 		leaving.Wait()
 		assert.Less(t, calls, 300)
-		time.Sleep(2 * replicaCallTimeout) // the calls to the stalled disk end
+		time.Sleep(2 * replicaCalls.callTimeout) // the calls to the stalled disk end
 		synctest.Wait()
 		assert.Empty(t, x.replicas.queues)
 	})
--- a/serving/event/operator.go
+++ b/serving/event/operator.go
@@ -15,5 +15,6 @@
 	EndpointLost              = define(424, zerolog.InfoLevel, "endpoint timed out or its announced removal is due; it counts as departed")
 	EndpointUnresponsive      = define(425, zerolog.DebugLevel, "endpoint has missed its heartbeats")
 	EndpointFailing           = define(427, zerolog.InfoLevel, "requests to an endpoint fail at several proxies; it gets few requests for a while")
+	EndpointReplicated        = define(428, zerolog.InfoLevel, "an endpoint's closing is on a majority of disks and applied by the proxies")
 	EndpointUnreadable        = define(426, zerolog.ErrorLevel, "an endpoint's gossiped entry can't be decoded or encoded")
 )
--- a/serving/gossip/message.go
+++ b/serving/gossip/message.go
@@ -10,6 +10,9 @@
 	// Durable requests that the receiver responds only once the entries would survive a loss of its power. Members of
 	// a version without this field respond once they have stored them in memory.
 	Durable bool `cbor:"5,keyasint,omitempty"`
+	// Await names entries. The receiver responds only once its process has applied these versions or newer ones: an
+	// agent, once its proxy has. Members of a version without this field respond once they have stored Entries.
+	Await []Header `cbor:"6,keyasint,omitempty"`
 }
 
 // Envelope is a message with its receiver.
--- a/serving/member/handlers.go
+++ b/serving/member/handlers.go
@@ -27,13 +27,20 @@
 	})
 }
 
-// servePush stores the entries of a message, on disk too where the sender requests that.
+// servePush stores the entries of a message. Where the sender requests that, it responds only once they are on disk, or
+// once this process has applied them.
 func (s *Service) servePush(ctx context.Context, message *gossip.Message) (*pushResponse, error) {
 	response, err := respond(s, func(now time.Time, n *node) pushResponse { return n.handlePush(now, *message) })
-	if err != nil || !message.Durable {
-		return response, err
+	if err != nil {
+		return nil, err
+	}
+	if message.Durable {
+		err = s.persist(ctx, message.Entries)
+	}
+	if err == nil {
+		err = s.awaitApplied(ctx, message.Await)
 	}
-	if err := s.persist(ctx, message.Entries); err != nil {
+	if err != nil {
 		return nil, err
 	}
 	return response, nil
--- a/serving/member/service.go
+++ b/serving/member/service.go
@@ -43,6 +43,8 @@
 	cancel   context.CancelFunc
 	// persister saves the entries of durable pushes; nil before SetPersister.
 	persister atomic.Pointer[Persister]
+	// applier waits for entries that pushes name; nil before SetApplier.
+	applier atomic.Pointer[Applier]
 }
 
 // Start joins the membership in the background, until ctx ends or Close is called. The incarnation is the wall
--- a/serving/process/process.go
+++ b/serving/process/process.go
@@ -68,11 +68,15 @@
 	os.Exit(0)
 }
 
+// logTimeFormat is RFC 3339 with milliseconds, so that the steps of an incident can be put into order across processes.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 func newLogger(program, levelName string) zerolog.Logger {
 	level, err := zerolog.ParseLevel(levelName)
 	if err != nil {
 		level = zerolog.InfoLevel
 	}
+	zerolog.TimeFieldFormat = logTimeFormat
 	return zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("program", program).Logger()
 }
 
--- a/test/integration/mutants/table_test.go
+++ b/test/integration/mutants/table_test.go
@@ -130,8 +130,8 @@
 	{
 		name:    "a member acknowledges an endpoint's end from memory",
 		file:    "serving/member/handlers.go",
-		old:     "if err != nil || !message.Durable {",
-		replace: "if true {",
+		old:     "if message.Durable {",
+		replace: "if message.Durable && false {",
 		pkg:     "serving/member", tests: "TestPushDurable",
 	},
 	{
@@ -211,6 +211,20 @@
 		replace: "return false",
 		pkg:     "serving/membership", tests: "TestDoubt",
 	},
+	{
+		name:    "a departure is acknowledged before the proxies have applied it",
+		file:    "serving/endpoints/exchange/replication.go",
+		old:     "unconfirmed := notified.wait()",
+		replace: "unconfirmed := 0\n\tnotified.cancel()",
+		pkg:     "serving/endpoints/exchange", tests: "TestPutReplicated",
+	},
+	{
+		name:    "an agent confirms what its proxy hasn't applied",
+		file:    "serving/agent/applied.go",
+		old:     "return current && position <= p.applied.endpointsPosition",
+		replace: "return current && position > 0",
+		pkg:     "serving/agent", tests: "TestAwaitApplied",
+	},
 	{
 		name:    "a member is suspected by a minority of its watchers",
 		file:    "serving/membership/evaluation.go",
--- a/test/integration/serving/departure_test.go
+++ b/test/integration/serving/departure_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -74,6 +75,95 @@
 	}
 }
 
+// TestDeparture_HoldsWhileNoCoreRuns guards against an acknowledged departure that only the cores knew of: while they were
+// down, the proxies went on sending to the endpoint.
+func TestDeparture_HoldsWhileNoCoreRuns(t *testing.T) {
+	c := startCluster(t)
+	c.awaitMembers()
+	for i, scenario := range []struct {
+		name  string
+		leave func(*endpoint.Endpoint, context.Context) error
+	}{
+		{"deregistration", (*endpoint.Endpoint).Deregister},
+		{"report of draining", drainSilently},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			leaving := c.startEndpoint(stockOptions(), firstLeavingNumber+i, locations[i%len(locations)])
+			defer leaving.Close()
+			load := c.startTraffic()
+			c.eventually("the endpoint serves", func() bool {
+				return len(c.ledger.runsAfter(time.Time{}, leaving.ID)) > 0
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+			defer cancel()
+			require.NoError(t, scenario.leave(leaving, ctx))
+			acknowledged := time.Now()
+			c.killAllCoresAtOnce()
+			time.Sleep(time.Until(acknowledged.Add(drainTime + observedTime)))
+			load.stopAndCheck()
+			assert.Empty(t, c.ledger.runsAfter(acknowledged.Add(drainTime), leaving.ID), "requests reached the endpoint")
+			c.startAllCores()
+		})
+		c.ledger.check(t)
+	}
+}
+
+// startAllCores starts the cores and waits until each knows all machines.
+func (c *cluster) startAllCores() {
+	for _, n := range c.cores {
+		n.start()
+	}
+	c.awaitMembers()
+}
+
+// awaitMembers waits until each core knows all machines.
+func (c *cluster) awaitMembers() {
+	for _, n := range c.cores {
+		c.eventually(n.name+" knows all machines", func() bool {
+			report, answered := c.report(n)
+			return answered && len(report.Members) == len(c.cores)+len(c.agents)
+		})
+	}
+}
+
+// TestDeparture_StoppedProxyDelaysNoAcknowledgement: a departure is acknowledged within the second that an endpoint waits
+// beside a proxy that is suspended, and the following ones aren't delayed by it.
+func TestDeparture_StoppedProxyDelaysNoAcknowledgement(t *testing.T) {
+	c := startCluster(t)
+	c.awaitMembers()
+	require.NoError(t, c.proxies[0].process.Signal(syscall.SIGSTOP))
+	defer func() { require.NoError(t, c.proxies[0].process.Signal(syscall.SIGCONT)) }()
+	for i, longest := range []time.Duration{time.Second, 200 * time.Millisecond, 200 * time.Millisecond} {
+		begun := time.Now()
+		status := c.deregisterAt(c.cores[0], fmt.Sprintf("beside-%d", i))
+		assert.Equal(t, http.StatusOK, status)
+		assert.Less(t, time.Since(begun), longest, "departure %d", i)
+	}
+}
+
+// deregisterAt deregisters an endpoint at a core and returns the status.
+func (c *cluster) deregisterAt(core *node, id string) int {
+	path := fmt.Sprintf("http://%s/Endpoints.SignOff/%s", core.address(portControl), id)
+	request, err := http.NewRequestWithContext(c.t.Context(), http.MethodPost, path, nil)
+	require.NoError(c.t, err)
+	client := newHTTPClient()
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
+	require.NoError(c.t, err)
+	_ = response.Body.Close() // only the status counts
+	return response.StatusCode
+}
+
+// killAllCoresAtOnce sends SIGKILL to all cores before it waits for the first end.
+func (c *cluster) killAllCoresAtOnce() {
+	for _, n := range c.cores {
+		require.NoError(c.t, n.process.Signal(syscall.SIGKILL))
+	}
+	for _, n := range c.cores {
+		require.True(c.t, n.process.AwaitExit(exitTimeout), "%s can't be killed", n.name)
+	}
+}
+
 // requireSuccessorServes checks that a new process under the ID of an endpoint that has left gets requests.
 func (c *cluster) requireSuccessorServes(id string, number int, at location) {
 	c.t.Helper()
