serving/endpoints: a new process under a departed endpoint's ID is told by its health check

Cause: isNewRegistration took two heartbeats with low counts for a successor's once lateHeartbeatTimeout (10 s) was over. A heartbeat may come later than any time-out; nothing in it tells whose it is.

Change: a heartbeat that is no newer than a departed or draining endpoint's state has the core member ask the process at its address by a health check. By the protocol it answers 200 only while it isn't leaving, and with its ID. What it confirms is registered, unless a sign-off, a `closing` or another member's update came meanwhile.

The fake endpoint's health check answers 503 once it has begun to deregister, as the protocol says. The mutant of the wait is replaced by one of the confirmation; one more: a successor that departs while it is checked.

--- a/serving/core/endpoints.go
+++ b/serving/core/endpoints.go
@@ -15,11 +15,13 @@
 	endpointStore := store.OpenEndpointStore(process.StoreDir, c.options.Log)
 	c.onClose(endpointStore.Close)
 	saver := newEndpointSaver(endpointStore, c.options.Log)
+	confirmer := &endpointConfirmer{latest: c.node.Latest, check: newHealthChecker().check}
 	c.endpoints = exchange.Start(lifetime, exchange.Options{
 		Gossip:            c.members,
 		HeartbeatInterval: process.HeartbeatInterval,
 		HasQuorum:         c.quorum.HasQuorum,
 		Persist:           saver.persist,
+		Confirm:           confirmer.confirm,
 		Log:               c.options.Log,
 	})
 	c.endpoints.Serve(c.inner)
--- a/serving/endpoints/exchange/exchange.go
+++ b/serving/endpoints/exchange/exchange.go
@@ -41,7 +41,10 @@
 	persist  func(ctx context.Context, list []state.Endpoint) error
 	replicas *batchSender
 	agents   *agentNotifier
-	log      *zerolog.Logger
+	confirm  Confirm
+	// successors are the processes to be checked by checkSuccessors.
+	successors chan state.Endpoint
+	log        *zerolog.Logger
 }
 
 // Options configures an Exchange.
@@ -52,6 +55,8 @@
 	HasQuorum func() bool
 	// Persist saves endpoints on the local disk and returns once they would survive a loss of power.
 	Persist func(ctx context.Context, list []state.Endpoint) error
+	// Confirm checks a process that has sent a heartbeat under the ID of an endpoint that has departed.
+	Confirm Confirm
 	Log     *zerolog.Logger
 }
 
@@ -69,9 +74,15 @@
 		persist:  options.Persist,
 		replicas: newBatchSender(members.PushDurable, replicaCalls),
 		agents:   newAgentNotifier(members.Members, members.PushApplied),
-		log:      options.Log,
+		confirm:  options.Confirm,
+
+		successors: make(chan state.Endpoint, maxWaitingSuccessors),
+		log:        options.Log,
 	}
 	members.Subscribe(gossip.TableEndpoints, x.merge)
+	for range maxSuccessorChecks {
+		go x.checkSuccessors(ctx)
+	}
 	go x.run(ctx)
 	return x
 }
--- a/serving/endpoints/heartbeat.go
+++ b/serving/endpoints/heartbeat.go
@@ -28,6 +28,9 @@
 	Broadcast bool // the change has to be gossiped
 	// Replicated: a majority of the voters is known to have this version of the endpoint on disk.
 	Replicated bool
+	// CheckSuccessor: the heartbeat may come from a new process under the ID of an endpoint that has departed. The caller
+	// checks that at the heartbeat's address and then calls ResolveSuccessor, until which no further check is requested.
+	CheckSuccessor bool
 }
 
 // ReceiveHeartbeat processes a heartbeat and returns the endpoint's new state.
@@ -37,21 +40,32 @@
 		e = t.addEntry(id)
 	}
 	before := e.endpoint
+	if known && (heartbeat.Sequence <= before.Sequence || isOfEarlierRegistration(before, heartbeat)) {
+		return e.snapshotAt(now), e.receiveStaleHeartbeat(heartbeat)
+	}
+	change := t.acceptHeartbeat(now, e, before, heartbeat)
+	change.New = !known
+	return e.snapshotAt(now), change
+}
+
+// receiveStaleHeartbeat processes a heartbeat that is no newer than what is known.
+func (e *entry) receiveStaleHeartbeat(heartbeat Heartbeat) Change {
+	change := Change{Stale: true, Replicated: e.broadcast.replicated}
 	switch {
-	case !known:
-	case heartbeat.Sequence <= before.Sequence && t.isNewRegistration(now, e, heartbeat):
-		e.endpoint.Registration++
-	case heartbeat.Sequence <= before.Sequence, isOfEarlierRegistration(before, heartbeat):
-		return e.snapshotAt(now), Change{Stale: true, Replicated: e.broadcast.replicated}
+	case !mayBeSuccessor(e.endpoint, heartbeat):
+		e.successor = nil // if there is one, it is closing
+	case e.successor == nil:
+		e.successor = &heartbeat
+		change.CheckSuccessor = true
 	}
+	return change
+}
+
+// acceptHeartbeat applies a heartbeat to an entry, given the endpoint before the change.
+func (t *Table) acceptHeartbeat(now time.Time, e *entry, before state.Endpoint, heartbeat Heartbeat) (change Change) {
 	t.applyHeartbeat(now, e, heartbeat)
-	if !known {
-		t.removed.raiseRegistration(&e.endpoint)
-	}
-	change := Change{
-		New:       !known,
-		Broadcast: e.needsBroadcast(before) || heartbeat.Draining && !e.broadcast.replicated,
-	}
+	t.removed.raiseRegistration(&e.endpoint)
+	change.Broadcast = e.needsBroadcast(before) || heartbeat.Draining && !e.broadcast.replicated
 	if before.Address != heartbeat.Address {
 		t.markOthersUnresponsive(e)
 	}
@@ -60,7 +74,7 @@
 		t.recordBroadcast(e)
 	}
 	change.Replicated = e.broadcast.replicated
-	return e.snapshotAt(now), change
+	return change
 }
 
 // applyHeartbeat copies a heartbeat into an entry.
@@ -87,7 +101,7 @@
 	e.lastHeartbeat = now
 	e.responsible = true
 	e.departedAt = time.Time{}
-	e.restart = sequenceRestart{}
+	e.successor = nil
 }
 
 // needsBroadcast reports whether the other members need the entry's state, given the endpoint before the change.
@@ -123,10 +137,11 @@
 }
 
 // Deregister processes the deregistration of an endpoint. The endpoint may still finish its requests; its process never
-// comes back. For a new process under the same ID see isNewRegistration.
+// comes back. For a new process under the same ID see mayBeSuccessor.
 func (t *Table) Deregister(now time.Time, id string) (state.Endpoint, Change) {
 	e, known := t.entries[id]
 	if known && e.endpoint.Sequence == deregisteredSequence {
+		e.successor = nil // it may be the successor that has departed
 		return e.snapshotAt(now), Change{Stale: true, Replicated: e.broadcast.replicated}
 	}
 	if !known {
@@ -135,6 +150,7 @@
 	e.endpoint.LastSequence = e.endpoint.Sequence
 	e.endpoint.Sequence = deregisteredSequence
 	e.endpoint.Receiver = t.options.Self
+	e.successor = nil
 	t.markDeparted(now, e)
 	t.recordBroadcast(e)
 	return e.snapshotAt(now), Change{New: !known, Broadcast: true}
--- a/serving/endpoints/merge.go
+++ b/serving/endpoints/merge.go
@@ -48,6 +48,7 @@
 	e.endpoint = update
 	e.lastHeartbeat = now
 	e.responsible = false
+	e.successor = nil
 	t.recordChange(e)
 	t.recordBroadcast(e)
 }
--- a/serving/endpoints/registration.go
+++ b/serving/endpoints/registration.go
@@ -7,38 +7,35 @@
 	"rowanlink/serving/state"
 )
 
-const (
-	// lateHeartbeatTimeout is how long after its departure heartbeats of an endpoint may still arrive.
-	lateHeartbeatTimeout = 10 * time.Second
-	// maxRemovedEndpoints bounds the departed endpoints that are remembered after their removal from the table.
-	maxRemovedEndpoints = 8192
-)
+// maxRemovedEndpoints bounds the departed endpoints that are remembered after their removal from the table.
+const maxRemovedEndpoints = 8192
 
-// sequenceRestart is a heartbeat with a sequence that the process of a departed endpoint had passed before.
-type sequenceRestart struct {
-	sequence uint64
-	at       time.Time
+// mayBeSuccessor reports whether a heartbeat that is no newer than what is known may come from a new process that has
+// registered under the ID of an endpoint that has departed or is draining. It may as well be a late one of the former
+// process, however long ago that has departed: only the endpoint itself can tell.
+func mayBeSuccessor(former state.Endpoint, heartbeat Heartbeat) bool {
+	return former.State != state.EndpointAccepting && !heartbeat.Draining
 }
 
-// isNewRegistration reports whether a heartbeat comes from a new process that has registered under the ID of an endpoint
-// that has departed or is draining. A process keeps its address and its sequence rises: a new process has another
-// address, or has begun to count anew. The latter takes two heartbeats, and that the departure is long enough ago, since
-// a heartbeat may be late.
-func (t *Table) isNewRegistration(now time.Time, e *entry, heartbeat Heartbeat) bool {
-	former := &e.endpoint
-	switch {
-	case former.State == state.EndpointAccepting || heartbeat.Draining:
-		return false
-	case former.Address != "" && heartbeat.Address != former.Address:
-		return true
-	case e.restart.at.IsZero() && heartbeat.Sequence > lastSequence(e.endpoint):
-		return false
-	case e.restart.at.IsZero() || heartbeat.Sequence <= e.restart.sequence:
-		e.restart = sequenceRestart{sequence: heartbeat.Sequence, at: now}
-		return false
+// ResolveSuccessor ends the check that ReceiveHeartbeat has requested by Change.CheckSuccessor. Where the process at the
+// heartbeat's address has confirmed that it accepts requests under the endpoint's ID, it is registered, with the time
+// that it still warms up. It returns false if it wasn't confirmed, or if the endpoint has changed since the request:
+// the successor itself may have departed.
+func (t *Table) ResolveSuccessor(now time.Time, id string, confirmed bool, warmupLeft time.Duration) (state.Endpoint, bool) {
+	e, known := t.entries[id]
+	if !known || e.successor == nil {
+		return state.Endpoint{}, false
+	}
+	heartbeat := *e.successor
+	e.successor = nil
+	if !confirmed {
+		return state.Endpoint{}, false
 	}
-	isDepartureOld := former.State == state.EndpointDeparted && now.Sub(e.departedAt) >= lateHeartbeatTimeout
-	return isDepartureOld && now.Sub(e.restart.at) >= t.options.HeartbeatInterval/2
+	heartbeat.WarmupLeft = max(heartbeat.WarmupLeft, warmupLeft)
+	former := e.endpoint
+	e.endpoint.Registration++
+	t.acceptHeartbeat(now, e, former, heartbeat)
+	return e.snapshotAt(now), true
 }
 
 // isOfEarlierRegistration reports whether a heartbeat comes from a process that another one has replaced under its ID.
@@ -48,14 +45,6 @@
 		current.Address != heartbeat.Address
 }
 
-// lastSequence returns the last known sequence of an endpoint's heartbeats.
-func lastSequence(e state.Endpoint) uint64 {
-	if e.Sequence == deregisteredSequence {
-		return e.LastSequence
-	}
-	return e.Sequence
-}
-
 // removedEndpoints remembers departed endpoints that have left the table. Other members retain their versions, so that
 // a new process under the same ID is known to them only with a newer one.
 type removedEndpoints struct{ byID map[string]removedEndpoint }
--- a/serving/endpoints/shared.go
+++ b/serving/endpoints/shared.go
@@ -49,6 +49,21 @@
 	return result.endpoint, result.change, ok
 }
 
+// successorResult is the result of a check of a successor.
+type successorResult struct {
+	endpoint   state.Endpoint
+	registered bool
+}
+
+// ResolveSuccessor is Table.ResolveSuccessor.
+func (s *SharedTable) ResolveSuccessor(id string, confirmed bool, warmupLeft time.Duration) (state.Endpoint, bool) {
+	result, _ := actor.Call(s.table, func(t *Table) successorResult {
+		endpoint, registered := t.ResolveSuccessor(s.clock(), id, confirmed, warmupLeft)
+		return successorResult{endpoint: endpoint, registered: registered}
+	})
+	return result.endpoint, result.registered
+}
+
 // observationResult is the result of an observation.
 type observationResult struct {
 	endpoint state.Endpoint
--- a/serving/endpoints/table.go
+++ b/serving/endpoints/table.go
@@ -60,8 +60,8 @@
 	lastHeartbeat  time.Time // or when this member became responsible
 	responsible    bool      // whether this member was responsible at the last sweep
 	departedAt     time.Time
-	restart        sequenceRestart // the newest heartbeat that may be of a new process
-	changePosition uint64          // of its newest change
+	successor      *Heartbeat // that may be of a new process, which is being checked; nil: none
+	changePosition uint64     // of its newest change
 	broadcast      broadcastState
 	outlier        outlierState
 }
--- a/serving/endpoints/table_test.go
+++ b/serving/endpoints/table_test.go
@@ -56,6 +56,13 @@
 	case "deregister":
 		endpoint, change := s.table.Deregister(s.now, requiredText(t, d, "id"))
 		return format(endpoint) + fmt.Sprintf("%+v\n", change)
+	case "resolve":
+		warmupLeft := time.Duration(number(t, d, "warmup")) * time.Millisecond
+		endpoint, registered := s.table.ResolveSuccessor(s.now, requiredText(t, d, "id"), d.HasArg("confirmed"), warmupLeft)
+		if !registered {
+			return "not registered\n"
+		}
+		return format(endpoint)
 	case "mark-replicated":
 		stored, _ := s.table.Get(s.now, requiredText(t, d, "id"))
 		s.table.MarkReplicated(stored)
--- a/serving/event/operator.go
+++ b/serving/event/operator.go
@@ -16,5 +16,7 @@
 	EndpointUnresponsive      = define(425, zerolog.DebugLevel, "endpoint has missed its heartbeats")
 	EndpointFailing           = define(427, zerolog.InfoLevel, "requests to an endpoint fail at several proxies; it gets few requests for a while")
 	EndpointReplicated        = define(428, zerolog.InfoLevel, "an endpoint's closing is on a majority of disks and applied by the proxies")
+	EndpointSucceeded         = define(429, zerolog.InfoLevel, "a new process under the ID of a departed endpoint is registered")
+	EndpointNotSucceeded      = define(430, zerolog.DebugLevel, "a heartbeat of a departed endpoint is ignored: no new process has confirmed that it serves")
 	EndpointUnreadable        = define(426, zerolog.ErrorLevel, "an endpoint's gossiped entry can't be decoded or encoded")
 )
--- a/serving/operator/endpoint.go
+++ b/serving/operator/endpoint.go
@@ -48,6 +48,9 @@
 		return
 	}
 	e.logHeartbeat(endpoint, change)
+	if change.CheckSuccessor {
+		e.replicator.CheckSuccessor(endpoint.ID, heartbeat)
+	}
 	if err := e.replicate(r.Context(), endpoint, change); err != nil {
 		writeError(w, err)
 		return
--- a/serving/operator/endpoint_test.go
+++ b/serving/operator/endpoint_test.go
@@ -118,6 +118,25 @@
 	assert.Empty(t, f.replicator.put)
 }
 
+// TestHeartbeat_OfDepartedEndpointIsChecked guards against a successor that is told by the time since the departure: a
+// heartbeat may be late by more. The endpoint itself is asked, once at a time.
+func TestHeartbeat_OfDepartedEndpointIsChecked(t *testing.T) {
+	f := newFixture(t)
+	f.call("POST", heartbeatPath, heartbeatBody("accepting", 7))
+	assert.Empty(t, f.replicator.checked)
+	f.call("POST", deregisterPath, "")
+	for range 2 {
+		assert.Equal(t, 200, f.call("POST", heartbeatPath, heartbeatBody("accepting", 6)).Code)
+		assert.Equal(t, []string{"i-7f3a91c2 at 10.128.0.9:8080"}, f.replicator.checked)
+		assert.Empty(t, f.table.Live())
+	}
+	f.table.ResolveSuccessor("i-7f3a91c2", false, 0)
+	f.call("POST", heartbeatPath, heartbeatBody("accepting", 1))
+	assert.Len(t, f.replicator.checked, 2)
+	f.table.ResolveSuccessor("i-7f3a91c2", true, 0)
+	assert.Len(t, f.table.Live(), 1)
+}
+
 func TestHeartbeat_Bodies(t *testing.T) {
 	for _, test := range []struct {
 		name, body string
--- a/serving/operator/fakes_test.go
+++ b/serving/operator/fakes_test.go
@@ -78,6 +78,7 @@
 type fakeReplicator struct {
 	put        []state.Endpoint
 	replicated []state.Endpoint
+	checked    []string       // successors
 	targets    quorum.Targets // of the newest replication
 	failures   int
 	down       map[string]bool // by address
@@ -96,6 +97,10 @@
 	return nil
 }
 
+func (f *fakeReplicator) CheckSuccessor(id string, heartbeat endpoints.Heartbeat) {
+	f.checked = append(f.checked, id+" at "+heartbeat.Address)
+}
+
 func (f *fakeReplicator) isLive(address string) bool { return !f.down[address] }
 
 // fakeVoters is a set of voters.
--- a/serving/operator/operator.go
+++ b/serving/operator/operator.go
@@ -60,6 +60,9 @@
 	Put(endpoint state.Endpoint)
 	// PutReplicated does the same and returns once as many targets as are a quorum have it on their disks.
 	PutReplicated(ctx context.Context, endpoint state.Endpoint, targets quorum.Targets) error
+	// CheckSuccessor checks whether a heartbeat is of a new process under the ID of a departed endpoint, and registers
+	// that. It doesn't block.
+	CheckSuccessor(id string, heartbeat endpoints.Heartbeat)
 }
 
 // Options of the control address. All but ForwardTo are required.
--- a/serving/state/endpoint.go
+++ b/serving/state/endpoint.go
@@ -46,6 +46,7 @@
 	// Registration counts the processes that have registered under the ID after an earlier one had departed.
 	Registration uint64 `cbor:"15,keyasint,omitempty"`
 	// LastSequence is the last known Sequence before the endpoint deregistered; zero for all others.
+	// Members of earlier versions tell a successor by it.
 	LastSequence uint64 `cbor:"16,keyasint,omitempty"`
 }
 
--- a/test/fake/endpoint/handler.go
+++ b/test/fake/endpoint/handler.go
@@ -55,7 +55,7 @@
 		return
 	}
 	e.slots.release(0)
-	if e.heartbeats.isDraining() {
+	if e.heartbeats.isLeaving() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/test/fake/endpoint/heartbeat.go
+++ b/test/fake/endpoint/heartbeat.go
@@ -29,6 +29,7 @@
 
 	mutex            sync.Mutex
 	draining         bool
+	deregistered     bool          // the endpoint has begun to deregister
 	acknowledged     chan struct{} // closed when the report of draining was acknowledged
 	sequence         uint64
 	preferredAddress string // where further heartbeats go first; empty: none was requested
@@ -57,11 +58,11 @@
 	return h.acknowledged
 }
 
-// isDraining reports whether draining has been announced.
-func (h *heartbeatSender) isDraining() bool {
+// isLeaving reports whether the endpoint has announced that it is closing or has begun to deregister.
+func (h *heartbeatSender) isLeaving() bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.draining
+	return h.draining || h.deregistered
 }
 
 // run sends heartbeats until the context ends.
@@ -115,6 +116,9 @@
 
 // deregister reports, once, that the endpoint has ended.
 func (h *heartbeatSender) deregister(ctx context.Context) error {
+	h.mutex.Lock()
+	h.deregistered = true
+	h.mutex.Unlock()
 	_, err := h.callControl(ctx, deregisterPath, func(uint64) ([]byte, error) { return nil, nil })
 	return err
 }
--- a/test/integration/mutants/table_test.go
+++ b/test/integration/mutants/table_test.go
@@ -165,8 +165,15 @@
 	{
 		name:    "late heartbeats bring a departed endpoint back",
 		file:    "serving/endpoints/registration.go",
-		old:     "now.Sub(e.restart.at) >= t.options.HeartbeatInterval/2",
-		replace: "true",
+		old:     "if !confirmed {",
+		replace: "if false {",
+		pkg:     "serving/endpoints", tests: "TestTable",
+	},
+	{
+		name:    "a successor that departs while it is checked is registered",
+		file:    "serving/endpoints/heartbeat.go",
+		old:     "e.successor = nil // it may be",
+		replace: "// it may be",
 		pkg:     "serving/endpoints", tests: "TestTable",
 	},
 	{
--- a/test/integration/serving/departure_test.go
+++ b/test/integration/serving/departure_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -26,6 +27,8 @@
 	observedTime = 4 * time.Second
 	// outageTime is how long all cores are down.
 	outageTime = 500 * time.Millisecond
+	// lateHeartbeatDelay is how long after a departure the first late heartbeat arrives.
+	lateHeartbeatDelay = 11 * time.Second
 	// firstLeavingNumber plus the index of the scenario is the number of the endpoint that leaves.
 	firstLeavingNumber = 51
 )
@@ -141,6 +144,45 @@
 	}
 }
 
+// TestDeparture_LateHeartbeats guards against heartbeats that an endpoint sent before its departure and that arrive long
+// after it: they were taken for those of a new process under its ID, and it got requests again.
+func TestDeparture_LateHeartbeats(t *testing.T) {
+	c := startCluster(t)
+	leaving := c.startEndpoint(stockOptions(), firstLeavingNumber, locations[0])
+	defer leaving.Close()
+	load := c.startTraffic()
+	c.eventually("the endpoint serves", func() bool { return len(c.ledger.runsAfter(time.Time{}, leaving.ID)) > 0 })
+	time.Sleep(3 * heartbeatInterval) // it has counted on
+	require.NoError(t, leaving.Deregister(t.Context()))
+	acknowledged := time.Now()
+	time.Sleep(lateHeartbeatDelay)
+	for sequence := 1; sequence <= 3; sequence++ {
+		c.sendLateHeartbeat(leaving, sequence)
+		time.Sleep(heartbeatInterval)
+	}
+	time.Sleep(observedTime)
+	load.stopAndCheck()
+	assert.Empty(t, c.ledger.runsAfter(acknowledged.Add(drainTime), leaving.ID), "requests reached the endpoint")
+	leaving.Close()
+	c.requireSuccessorServes(leaving.ID, firstLeavingNumber, locations[0])
+	c.ledger.check(t)
+}
+
+// sendLateHeartbeat sends a heartbeat as an endpoint sent it before it departed.
+func (c *cluster) sendLateHeartbeat(e *endpoint.Endpoint, sequence int) {
+	body := fmt.Sprintf(`{"carrier":"stock","address":%q,"zone":%q,"edition":"v1","berths":6,"state":"accepting","call_seq":%d}`,
+		e.Address(), locations[0].zone, sequence)
+	path := fmt.Sprintf("http://%s/Endpoints.Beat/%s", c.cores[0].address(portControl), e.ID)
+	request, err := http.NewRequestWithContext(c.t.Context(), http.MethodPost, path, strings.NewReader(body))
+	require.NoError(c.t, err)
+	client := newHTTPClient()
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
+	require.NoError(c.t, err)
+	_ = response.Body.Close() // only the status counts
+	require.Equal(c.t, http.StatusOK, response.StatusCode)
+}
+
 // deregisterAt deregisters an endpoint at a core and returns the status.
 func (c *cluster) deregisterAt(core *node, id string) int {
 	path := fmt.Sprintf("http://%s/Endpoints.SignOff/%s", core.address(portControl), id)
