serving: proxies have applied a change of the record before it is acknowledged

A configuration or an evacuation was acknowledged, all cores were killed at that moment, and for as long as none ran the proxies used the state before: 404 on the new route after apply_ms, requests to the evacuated zone after evacuate_ms.

Cause: the push of the committed record leaves 20 ms after the acknowledgement.

The record itself travels by gossip as before; only its header is awaited. What has no confirmation in time is acknowledged all the same: it is committed. The senders are in a package of their own (serving/delivery), with a skip list for endpoints and one for the record.

Event 904 says how long each step took.

--- a/serving/core/recordreplicator.go
+++ b/serving/core/recordreplicator.go
@@ -29,12 +29,9 @@
 		event.RecordUnreadable.Log(r.log).Err(err).Send()
 		return
 	}
-	r.gossip.Put(gossip.Entry{
-		Table:   gossip.TableRecord,
-		Key:     gossip.RecordKey,
-		Version: gossip.NewVersion(record.Revision, 0),
-		Value:   value,
-	})
+	entry := recordHeader(record)
+	entry.Value = value
+	r.gossip.Put(entry)
 }
 
 // subscribe passes the records of other members to the node.
--- a/serving/core/run.go
+++ b/serving/core/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"rowanlink/serving/delivery"
 	"rowanlink/serving/endpoints/exchange"
 	"rowanlink/serving/event"
 	"rowanlink/serving/introspect"
@@ -161,10 +162,15 @@
 		Members: c.members.Members,
 		Clock:   time.Now,
 	}
+	applied := &appliedRegister{
+		ReplicatedRegister: c.node,
+		agents:             delivery.NewAgentNotifier(c.members.Members, c.members.PushApplied),
+		log:                c.options.Log,
+	}
 	mux := http.NewServeMux()
 	introspect.Serve(mux, c.introspector.report) // an operator needs no other address than this one
 	mux.Handle("/", operator.New(operator.Options{
-		Register:   operator.NewRegister(c.node),
+		Register:   operator.NewRegister(applied),
 		Endpoints:  c.endpoints.Table(),
 		Replicator: c.endpoints,
 		Quorum:     c.quorum,
--- a/serving/endpoints/exchange/agentnotifier.go
+++ b/serving/delivery/agentnotifier.go
@@ -1,4 +1,4 @@
-package exchange
+package delivery
 
 import (
 	"context"
@@ -11,53 +11,55 @@
 )
 
 const (
-	// agentTimeout bounds the wait for the agents. An endpoint waits a second for its acknowledgement.
-	agentTimeout = 400 * time.Millisecond
-	// agentSkipTime is how long an agent that hasn't confirmed in time isn't waited for: its machine may be suspended or
+	// AgentTimeout bounds the wait for the agents. An endpoint waits a second for its acknowledgement.
+	AgentTimeout = 400 * time.Millisecond
+	// AgentSkipTime is how long an agent that hasn't confirmed in time isn't waited for: its machine may be suspended or
 	// unreachable, and the acknowledgements of others mustn't be late because of that.
-	agentSkipTime = 5 * time.Second
+	AgentSkipTime = 5 * time.Second
 )
 
-// agentNotifier sends entries to the agents of all machines and waits until their proxies have applied them. What they
+// AgentNotifier sends entries to the agents of all machines and waits until their proxies have applied them. What they
 // have applied holds also while no core member runs that could tell them. It is safe for concurrent use.
-type agentNotifier struct {
+type AgentNotifier struct {
 	members func() []state.Member // those that are live
-	sender  *batchSender
+	sender  *BatchSender
 
 	mutex   sync.Mutex
 	skipped map[string]time.Time // agents that aren't waited for, by address: until when
 }
 
-func newAgentNotifier(members func() []state.Member, push pushFunc) *agentNotifier {
-	return &agentNotifier{
+// NewAgentNotifier returns a notifier of the agents among the members that are live.
+func NewAgentNotifier(members func() []state.Member, push PushFunc) *AgentNotifier {
+	return &AgentNotifier{
 		members: members,
-		sender:  newBatchSender(push, batchOptions{maxCalls: 1, callTimeout: agentTimeout}),
+		sender:  NewBatchSender(push, BatchOptions{MaxCalls: 1, CallTimeout: AgentTimeout}),
 		skipped: map[string]time.Time{},
 	}
 }
 
-// notification is an entry on its way to the agents.
-type notification struct {
-	notifier *agentNotifier
-	timeout  <-chan struct{} // closed agentTimeout after the start
+// Notification is an entry on its way to the agents.
+type Notification struct {
+	notifier *AgentNotifier
+	timeout  <-chan struct{} // closed AgentTimeout after the start
 	cancel   context.CancelFunc
 	pending  map[string]<-chan error // the agents that are waited for, by address
 }
 
-// start sends an entry to all agents. The caller calls wait or cancel.
-func (n *agentNotifier) start(ctx context.Context, entry gossip.Entry) *notification {
-	ctx, cancel := context.WithTimeout(ctx, agentTimeout)
-	started := &notification{notifier: n, timeout: ctx.Done(), cancel: cancel, pending: map[string]<-chan error{}}
+// Start sends an entry to all agents. One without a value is only awaited: they get it by gossip. The caller calls Wait
+// or Cancel; the end of ctx cancels nothing, since agents that aren't given their time would count as unresponsive.
+func (n *AgentNotifier) Start(ctx context.Context, entry gossip.Entry) *Notification {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), AgentTimeout)
+	started := &Notification{notifier: n, timeout: ctx.Done(), cancel: cancel, pending: map[string]<-chan error{}}
 	for _, address := range n.addresses() {
 		result := make(chan error, 1)
-		n.sender.send(ctx, address, entry, result)
+		n.sender.Send(ctx, address, entry, result)
 		started.pending[address] = result
 	}
 	return started
 }
 
 // addresses returns the agents to be waited for. The others get the entry by gossip.
-func (n *agentNotifier) addresses() (addresses []string) {
+func (n *AgentNotifier) addresses() (addresses []string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
@@ -72,14 +74,20 @@
 }
 
 // skip records that an agent hasn't confirmed in time.
-func (n *agentNotifier) skip(address string) {
+func (n *AgentNotifier) skip(address string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.skipped[address] = time.Now().Add(agentSkipTime)
+	n.skipped[address] = time.Now().Add(AgentSkipTime)
 }
 
-// wait waits until all agents have confirmed or agentTimeout is over, and returns the number of those that have not.
-func (n *notification) wait() (unconfirmed int) {
+// Cancel ends the wait. Entries that are still queued aren't sent.
+func (n *Notification) Cancel() { n.cancel() }
+
+// Agents returns the number of agents that were notified.
+func (n *Notification) Agents() int { return len(n.pending) }
+
+// Wait waits until all agents have confirmed or AgentTimeout is over, and returns the number of those that have not.
+func (n *Notification) Wait() (unconfirmed int) {
 	defer n.cancel()
 	for address, result := range n.pending {
 		if !isConfirmed(result, n.timeout) {
--- a/serving/endpoints/exchange/batchsender.go
+++ b/serving/delivery/batchsender.go
@@ -1,4 +1,6 @@
-package exchange
+// Package delivery sends entries to other members and waits for their confirmations, beside the gossip: what was
+// acknowledged has to be at enough disks and at all proxies that can be reached.
+package delivery
 
 import (
 	"context"
@@ -11,23 +13,23 @@
 // maxBatchEntries bounds the entries of one call.
 const maxBatchEntries = 256
 
-// pushFunc sends entries to the member at an address, host:port, and returns once that has confirmed them.
-type pushFunc func(ctx context.Context, address string, entries []gossip.Entry) error
+// PushFunc sends entries to the member at an address, host:port, and returns once that has confirmed them.
+type PushFunc func(ctx context.Context, address string, entries []gossip.Entry) error
 
-// batchSender sends entries to members. Entries for the same member share calls, so that many at once cost few. It is
+// BatchSender sends entries to members. Entries for the same member share calls, so that many at once cost few. It is
 // safe for concurrent use.
-type batchSender struct {
-	push    pushFunc
-	options batchOptions
+type BatchSender struct {
+	push    PushFunc
+	options BatchOptions
 
 	mutex  sync.Mutex            // guards the fields below
 	queues map[string]*sendQueue // by address; only of members with calls in flight
 }
 
-// batchOptions bounds the calls of a batchSender.
-type batchOptions struct {
-	maxCalls    int           // concurrent, to one member. Entries that come meanwhile share the next call
-	callTimeout time.Duration // of one call
+// BatchOptions bounds the calls of a BatchSender.
+type BatchOptions struct {
+	MaxCalls    int           // concurrent, to one member. Entries that come meanwhile share the next call
+	CallTimeout time.Duration // of one call
 }
 
 // sendQueue has the entries that wait for a call to one member.
@@ -53,13 +55,14 @@
 	}
 }
 
-func newBatchSender(push pushFunc, options batchOptions) *batchSender {
-	return &batchSender{push: push, options: options, queues: map[string]*sendQueue{}}
+// NewBatchSender returns a sender that has sent nothing yet.
+func NewBatchSender(push PushFunc, options BatchOptions) *BatchSender {
+	return &BatchSender{push: push, options: options, queues: map[string]*sendQueue{}}
 }
 
-// send sends an entry to a member, and its result to a channel that must have room for it. There is no result if ctx
+// Send sends an entry to a member, and its result to a channel that must have room for it. There is no result if ctx
 // ends before the entry is sent.
-func (s *batchSender) send(ctx context.Context, address string, entry gossip.Entry, result chan<- error) {
+func (s *BatchSender) Send(ctx context.Context, address string, entry gossip.Entry, result chan<- error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	queue, exists := s.queues[address]
@@ -68,7 +71,7 @@
 		s.queues[address] = queue
 	}
 	queue.waiting = append(queue.waiting, queuedEntry{entry: entry, done: ctx.Done(), result: result})
-	if queue.calls == s.options.maxCalls {
+	if queue.calls == s.options.MaxCalls {
 		return
 	}
 	queue.calls++
@@ -77,7 +80,7 @@
 
 // sendWaiting makes calls until no entry waits. They go on after the callers have left: a member that is late gets the
 // entries all the same.
-func (s *batchSender) sendWaiting(ctx context.Context, address string, queue *sendQueue) {
+func (s *BatchSender) sendWaiting(ctx context.Context, address string, queue *sendQueue) {
 	for {
 		batch := s.takeBatch(address, queue)
 		if len(batch) == 0 {
@@ -91,7 +94,7 @@
 }
 
 // takeBatch returns the entries of the next call. Where there are none, it ends the caller's turn.
-func (s *batchSender) takeBatch(address string, queue *sendQueue) (batch []queuedEntry) {
+func (s *BatchSender) takeBatch(address string, queue *sendQueue) (batch []queuedEntry) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	taken := 0
@@ -116,8 +119,8 @@
 }
 
 // call sends a batch.
-func (s *batchSender) call(ctx context.Context, address string, batch []queuedEntry) error {
-	ctx, cancel := context.WithTimeout(ctx, s.options.callTimeout)
+func (s *BatchSender) call(ctx context.Context, address string, batch []queuedEntry) error {
+	ctx, cancel := context.WithTimeout(ctx, s.options.CallTimeout)
 	defer cancel()
 	entries := make([]gossip.Entry, 0, len(batch))
 	for _, queued := range batch {
--- a/serving/endpoints/exchange/exchange.go
+++ b/serving/endpoints/exchange/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"rowanlink/serving/delivery"
 	"rowanlink/serving/endpoints"
 	"rowanlink/serving/event"
 	"rowanlink/serving/gossip"
@@ -39,8 +40,8 @@
 	gossip   Gossip
 	table    *endpoints.SharedTable
 	persist  func(ctx context.Context, list []state.Endpoint) error
-	replicas *batchSender
-	agents   *agentNotifier
+	replicas *delivery.BatchSender
+	agents   *delivery.AgentNotifier
 	confirm  Confirm
 	// successors are the processes to be checked by checkSuccessors.
 	successors chan state.Endpoint
@@ -72,8 +73,8 @@
 		gossip:   members,
 		table:    endpoints.Start(tableOptions, time.Now),
 		persist:  options.Persist,
-		replicas: newBatchSender(members.PushDurable, replicaCalls),
-		agents:   newAgentNotifier(members.Members, members.PushApplied),
+		replicas: delivery.NewBatchSender(members.PushDurable, replicaCalls),
+		agents:   delivery.NewAgentNotifier(members.Members, members.PushApplied),
 		confirm:  options.Confirm,
 
 		successors: make(chan state.Endpoint, maxWaitingSuccessors),
--- a/serving/endpoints/exchange/replication.go
+++ b/serving/endpoints/exchange/replication.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"rowanlink/serving/delivery"
 	"rowanlink/serving/endpoints"
 	"rowanlink/serving/errcode"
 	"rowanlink/serving/event"
@@ -13,11 +14,12 @@
 )
 
 // replicaCalls bounds the calls to a replica. The second one may begin while the disk is busy with the first.
-var replicaCalls = batchOptions{maxCalls: 2, callTimeout: time.Second}
+var replicaCalls = delivery.BatchOptions{MaxCalls: 2, CallTimeout: time.Second}
 
 // PutReplicated gossips an endpoint and returns once it is on the disks of a majority of the voters, so that neither
 // the end of all processes nor a loss of power undoes it, and the proxies have applied it, so that it holds however long
-// no core member runs. The wait for the proxies is bounded by agentTimeout: one that is suspended or unreachable gets
+// no core member runs. The wait for the proxies is bounded by
+// delivery.AgentTimeout: one that is suspended or unreachable gets
 // the endpoint by gossip. It fails with errcode.NotAcknowledged where the disks can't be reached or don't confirm before
 // ctx ends. The endpoint is sent to all targets and gossiped in any case.
 func (x *Exchange) PutReplicated(ctx context.Context, endpoint state.Endpoint, targets quorum.Targets) error {
@@ -27,18 +29,18 @@
 	}
 	begun := time.Now()
 	x.gossip.Put(entry)
-	notified := x.agents.start(ctx, entry)
+	notified := x.agents.Start(ctx, entry)
 	if err := x.storeReplicated(ctx, endpoint, entry, targets); err != nil {
-		notified.cancel()
+		notified.Cancel()
 		return err
 	}
 	stored := time.Since(begun)
-	unconfirmed := notified.wait()
+	unconfirmed := notified.Wait()
 	event.EndpointReplicated.Log(x.log).
 		Str("endpoint", endpoint.ID).
 		Dur("stored_ms", stored).
 		Dur("applied_ms", time.Since(begun)).
-		Int("agents", len(notified.pending)).
+		Int("agents", notified.Agents()).
 		Int("unconfirmed", unconfirmed).
 		Send()
 	return nil
@@ -55,7 +57,7 @@
 		go func() { results <- x.persist(ctx, []state.Endpoint{endpoint}) }()
 	}
 	for _, address := range targets.Others {
-		x.replicas.send(ctx, address, entry, results)
+		x.replicas.Send(ctx, address, entry, results)
 	}
 	return awaitQuorum(ctx, results, copies, targets.Quorum)
 }
--- a/serving/event/core.go
+++ b/serving/event/core.go
@@ -7,5 +7,6 @@
 	RecordUnreadable  = define(900, zerolog.ErrorLevel, "record can't be decoded or encoded; it is skipped")
 	RepairFailed      = define(901, zerolog.WarnLevel, "replica set could not be repaired; retrying")
 	ChangeRecovered   = define(903, zerolog.InfoLevel, "a change of a lost member was resolved")
+	RecordApplied     = define(904, zerolog.InfoLevel, "a change of the record is committed and applied by the proxies")
 	EndpointsRestored = define(902, zerolog.InfoLevel, "endpoints known before the start were queried and restored")
 )
