serving/delivery: an end that goes to all agents isn't pushed on by them; bursts share calls

Cause: each agent that got an end directly pushed it on to three others, which had it already. And a burst of ends made a call per proxy poll.

Change: such messages are final (gossip.Message, field 7): stored and repaired like all others, but not pushed a second time. An agent is called at most every 50 ms by one core member; the first end after a pause leaves at once.

--- a/serving/core/appliedregister_test.go
+++ b/serving/core/appliedregister_test.go
@@ -67,6 +67,7 @@
 					_, err := r.Change(t.Context(), nil)
 					assert.Equal(t, test.register.err, err)
 					assert.Equal(t, expected, time.Since(begun))
+					time.Sleep(time.Second) // the calls end
 				}
 			})
 		})
--- a/serving/delivery/agentnotifier.go
+++ b/serving/delivery/agentnotifier.go
@@ -16,6 +16,8 @@
 	// AgentSkipTime is how long an agent that hasn't confirmed in time isn't waited for: its machine may be suspended or
 	// unreachable, and the acknowledgements of others mustn't be late because of that.
 	AgentSkipTime = 5 * time.Second
+	// agentInterval is the least time between two calls to an agent.
+	agentInterval = 50 * time.Millisecond
 )
 
 // AgentNotifier sends entries to the agents of all machines and waits until their proxies have applied them. What they
@@ -32,7 +34,11 @@
 func NewAgentNotifier(members func() []state.Member, push PushFunc) *AgentNotifier {
 	return &AgentNotifier{
 		members: members,
-		sender:  NewBatchSender(push, BatchOptions{MaxCalls: 1, CallTimeout: AgentTimeout}),
+		sender: NewBatchSender(push, BatchOptions{
+			MaxCalls:    1,
+			CallTimeout: AgentTimeout,
+			MinInterval: agentInterval,
+		}),
 		skipped: map[string]time.Time{},
 	}
 }
--- a/serving/delivery/batchsender.go
+++ b/serving/delivery/batchsender.go
@@ -30,6 +30,9 @@
 type BatchOptions struct {
 	MaxCalls    int           // concurrent, to one member. Entries that come meanwhile share the next call
 	CallTimeout time.Duration // of one call
+	// MinInterval is the least time from the start of a call to that of the next one in its place. It bounds the calls of
+	// a burst; the first entry after a pause is sent at once.
+	MinInterval time.Duration
 }
 
 // sendQueue has the entries that wait for a call to one member.
@@ -86,10 +89,12 @@
 		if len(batch) == 0 {
 			return
 		}
+		nextCall := time.After(s.options.MinInterval)
 		err := s.call(ctx, address, batch)
 		for _, queued := range batch {
 			queued.result <- err
 		}
+		<-nextCall
 	}
 }
 
--- a/serving/gossip/engine_test.go
+++ b/serving/gossip/engine_test.go
@@ -261,3 +261,16 @@
 		{Table: TableMembers, Headers: []Header{bad.Header()}}}))
 	e.ExpireTombstone(startTime, bad.Header())
 }
+
+// TestReceive_FinalEntriesAreNotPushedOn: what its sender sends to all members itself is stored and repaired like the
+// rest, but not pushed a second time; a requested relay is carried out all the same.
+func TestReceive_FinalEntriesAreNotPushedOn(t *testing.T) {
+	e := newTestEngine(6)
+	entry := endpointEntry("k", 1)
+	before := e.Summary()
+	assert.Len(t, e.Receive(startTime, Message{From: "m3", Entries: []Entry{entry}, Final: true}), 1)
+	assert.NotEqual(t, before, e.Summary())
+	assert.True(t, e.NextSendTime().IsZero())
+	e.Receive(startTime, Message{From: "m3", Entries: []Entry{entry}, Final: true, Relay: []string{"y0"}})
+	assert.False(t, e.NextSendTime().IsZero())
+}
--- a/serving/gossip/message.go
+++ b/serving/gossip/message.go
@@ -13,6 +13,9 @@
 	// Await names entries. The receiver responds only once its process has applied these versions or newer ones: an
 	// agent, once its proxy has. Members of a version without this field respond once they have stored Entries.
 	Await []Header `cbor:"6,keyasint,omitempty"`
+	// Final tells that the sender sends the entries to all members that need them at once: the receiver doesn't push them
+	// on. Members of a version without this field do.
+	Final bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Envelope is a message with its receiver.
