--- a/serving/core/endpointrestorer.go
+++ b/serving/core/endpointrestorer.go
@@ -51,6 +51,9 @@
 		return nil
 	}
 	departed := r.publishDepartures(saved)
+	if departed > 0 {
+		event.DeparturesKept.Log(r.log).Int("departed", departed).Send()
+	}
 	routes := r.awaitRouting(ctx)
 	if routes == nil {
 		return saved
--- a/serving/event/core.go
+++ b/serving/event/core.go
@@ -8,5 +8,6 @@
 	RepairFailed      = define(901, zerolog.WarnLevel, "replica set could not be repaired; retrying")
 	ChangeRecovered   = define(903, zerolog.InfoLevel, "a change of a lost member was resolved")
 	RecordApplied     = define(904, zerolog.InfoLevel, "a change of the record is committed and applied by the proxies")
+	DeparturesKept    = define(905, zerolog.InfoLevel, "endpoints that had departed before the start are published")
 	EndpointsRestored = define(902, zerolog.InfoLevel, "endpoints known before the start were queried and restored")
 )
--- a/serving/event/proxy.go
+++ b/serving/event/proxy.go
@@ -12,6 +12,7 @@
 	AgentConnectionRestored = define(511, zerolog.InfoLevel, "agent reachable again")
 	ConfigurationActivated  = define(520, zerolog.InfoLevel, "configuration activated")
 	ConfigurationInvalid    = define(521, zerolog.ErrorLevel, "configuration invalid; the previous one stays in force")
+	EndpointUnused          = define(522, zerolog.InfoLevel, "endpoint takes no new requests any more; none are sent to it")
 	ListenerFailed          = define(530, zerolog.ErrorLevel, "listener for clients failed")
 	ConnectionLimitReached  = define(531, zerolog.WarnLevel, "limit of client connections reached; new ones are closed")
 	ClientServerFailed      = define(532, zerolog.ErrorLevel, "server of client connections reports an error")
--- a/serving/proxy/proxy.go
+++ b/serving/proxy/proxy.go
@@ -166,12 +166,16 @@
 // applyResponse applies a response of the agent. It returns the cursor for the next poll and the state to report.
 func (p *proxy) applyResponse(response *subscription.Response) (subscription.Cursor, state.MemberState) {
 	before := p.view.table
+	stopped := p.view.endpointsToStop(response)
 	if err := p.view.apply(response); err != nil {
 		event.ConfigurationInvalid.Log(p.log).Err(err).Send()
 	}
 	p.proxyCount.Store(int64(max(p.view.proxies.MaxRunning, p.view.proxies.Live)))
 	p.retry.SetProxies(p.view.proxies.MaxRunning)
 	p.picker.Update(time.Now(), p.view.snapshot(response.Loads))
+	for _, id := range stopped {
+		event.EndpointUnused.Log(p.log).Str("endpoint", id).Send()
+	}
 	if after := p.view.table; after != before {
 		p.table.Store(after)
 		event.ConfigurationActivated.Log(p.log).Uint64("version", after.Version).Send()
--- a/serving/proxy/system_view.go
+++ b/serving/proxy/system_view.go
@@ -22,6 +22,18 @@
 
 func newSystemView() *systemView { return &systemView{endpoints: map[string]state.Endpoint{}} }
 
+// endpointsToStop returns the endpoints, by ID, that accept requests now and won't after a response of the agent.
+func (v *systemView) endpointsToStop(response *subscription.Response) (ids []string) {
+	for _, endpoint := range response.Endpoints {
+		known, exists := v.endpoints[endpoint.ID]
+		wasAccepting := exists && known.State == state.EndpointAccepting
+		if wasAccepting && endpoint.State != state.EndpointAccepting {
+			ids = append(ids, endpoint.ID)
+		}
+	}
+	return ids
+}
+
 // apply applies a response of the agent. An error means that its configuration is invalid; everything else is applied.
 func (v *systemView) apply(response *subscription.Response) error {
 	if response.Complete {
