serving/delivery: a core member that has just started awaits the agents that become known

What callers saw: sign-off right after a restart of all cores, acknowledged, all cores killed again: requests went on for as long as none ran.

Cause: the notifier sends to the agents that the member knows, and right after its start it knows none (event 428: agents 0): they call it one after the other.

Change: in the first 2 s after its start a member uses the whole 400 ms and sends to agents as they become known.

--- a/serving/core/appliedregister_test.go
+++ b/serving/core/appliedregister_test.go
@@ -62,6 +62,7 @@
 				}
 				log := zerolog.Nop()
 				r := &appliedRegister{ReplicatedRegister: test.register, log: &log, agents: delivery.NewAgentNotifier(members, push)}
+				time.Sleep(delivery.JoinTime)
 				for _, expected := range []time.Duration{test.first, test.later} {
 					begun := time.Now()
 					_, err := r.Change(t.Context(), nil)
--- a/serving/delivery/agentnotifier.go
+++ b/serving/delivery/agentnotifier.go
@@ -18,6 +18,10 @@
 	AgentSkipTime = 5 * time.Second
 	// agentInterval is the least time between two calls to an agent.
 	agentInterval = 50 * time.Millisecond
+	// JoinTime is how long after its start a core member may not know all agents, which call it one after the other.
+	JoinTime = 2 * time.Second
+	// joinPollInterval is the time between two looks for agents that have become known.
+	joinPollInterval = 20 * time.Millisecond
 )
 
 // AgentNotifier sends entries to the agents of all machines and waits until their proxies have applied them. What they
@@ -25,6 +29,7 @@
 type AgentNotifier struct {
 	members func() []state.Member // those that are live
 	sender  *BatchSender
+	started time.Time
 
 	mutex   sync.Mutex
 	skipped map[string]time.Time // agents that aren't waited for, by address: until when
@@ -39,13 +44,18 @@
 			CallTimeout: AgentTimeout,
 			MinInterval: agentInterval,
 		}),
+		started: time.Now(),
 		skipped: map[string]time.Time{},
 	}
 }
 
+// isJoining reports whether agents may not be known yet.
+func (n *AgentNotifier) isJoining() bool { return time.Since(n.started) < JoinTime }
+
 // Notification is an entry on its way to the agents.
 type Notification struct {
 	notifier *AgentNotifier
+	send     func(address string) (result <-chan error)
 	timeout  <-chan struct{} // closed AgentTimeout after the start
 	cancel   context.CancelFunc
 	pending  map[string]<-chan error // the agents that are waited for, by address
@@ -55,15 +65,30 @@
 // or Cancel; the end of ctx cancels nothing, since agents that aren't given their time would count as unresponsive.
 func (n *AgentNotifier) Start(ctx context.Context, entry gossip.Entry) *Notification {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), AgentTimeout)
-	started := &Notification{notifier: n, timeout: ctx.Done(), cancel: cancel, pending: map[string]<-chan error{}}
-	for _, address := range n.addresses() {
-		result := make(chan error, 1)
-		n.sender.Send(ctx, address, entry, result)
-		started.pending[address] = result
+	started := &Notification{
+		notifier: n,
+		timeout:  ctx.Done(),
+		cancel:   cancel,
+		pending:  map[string]<-chan error{},
+		send: func(address string) <-chan error {
+			result := make(chan error, 1)
+			n.sender.Send(ctx, address, entry, result)
+			return result
+		},
 	}
+	started.sendToNew()
 	return started
 }
 
+// sendToNew sends the entry to the agents that it hasn't been sent to.
+func (n *Notification) sendToNew() {
+	for _, address := range n.notifier.addresses() {
+		if _, sent := n.pending[address]; !sent {
+			n.pending[address] = n.send(address)
+		}
+	}
+}
+
 // addresses returns the agents to be waited for. The others get the entry by gossip.
 func (n *AgentNotifier) addresses() (addresses []string) {
 	n.mutex.Lock()
@@ -79,8 +104,11 @@
 	return addresses
 }
 
-// skip records that an agent hasn't confirmed in time.
+// skip records that an agent hasn't confirmed in time. While this member is joining, it may just not have had the time.
 func (n *AgentNotifier) skip(address string) {
+	if n.isJoining() {
+		return
+	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.skipped[address] = time.Now().Add(AgentSkipTime)
@@ -95,6 +123,7 @@
 // Wait waits until all agents have confirmed or AgentTimeout is over, and returns the number of those that have not.
 func (n *Notification) Wait() (unconfirmed int) {
 	defer n.cancel()
+	n.awaitJoin()
 	for address, result := range n.pending {
 		if !isConfirmed(result, n.timeout) {
 			unconfirmed++
@@ -104,6 +133,20 @@
 	return unconfirmed
 }
 
+// awaitJoin sends the entry to the agents that become known while this member is joining, until AgentTimeout is over.
+func (n *Notification) awaitJoin() {
+	ticker := time.NewTicker(joinPollInterval)
+	defer ticker.Stop()
+	for n.notifier.isJoining() {
+		select {
+		case <-ticker.C:
+			n.sendToNew()
+		case <-n.timeout:
+			return
+		}
+	}
+}
+
 // isConfirmed waits for a result until the time-out, and reports whether it came and is a success.
 func isConfirmed(result <-chan error, timeout <-chan struct{}) bool {
 	select {
--- a/serving/endpoints/exchange/replication_test.go
+++ b/serving/endpoints/exchange/replication_test.go
@@ -46,13 +46,15 @@
 	}
 }
 
-// newReplicatedExchange returns an exchange whose own disk and whose replicas' disks respond as given.
+// newReplicatedExchange returns an exchange whose own disk and whose replicas' disks respond as given, once its member has
+// joined the others.
 func newReplicatedExchange(local diskState, others map[string]diskState) *Exchange {
 	log := zerolog.Nop()
 	f := &fakeGossip{subscriber: func(gossip.Entry) {}}
 	f.pushDurable = func(ctx context.Context, address string, _ []gossip.Entry) error {
 		return others[address].store(ctx)
 	}
+	defer time.Sleep(delivery.JoinTime)
 	return &Exchange{
 		gossip:   f,
 		persist:  func(ctx context.Context, _ []state.Endpoint) error { return local.store(ctx) },
