serving/core: saved endpoints and successors are confirmed by the same code

The restorer looked up the path of the health check and parsed the configuration by itself, as endpointConfirmer does since. It uses that now. Behaviour and tests as before.

--- a/serving/core/endpointconfirmer.go
+++ b/serving/core/endpointconfirmer.go
@@ -47,3 +47,19 @@
 	}
 	return c.routes
 }
+
+// routingOf parses a record's configuration. It returns nil if there is none or it is invalid.
+func routingOf(record state.Record) *routing.Table {
+	if record.Configuration.Version == 0 {
+		return nil
+	}
+	document, err := record.Configuration.Decompress()
+	if err != nil {
+		return nil
+	}
+	table, err := routing.Parse(document)
+	if err != nil {
+		return nil
+	}
+	return table
+}
--- a/serving/core/endpointrestorer.go
+++ b/serving/core/endpointrestorer.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"rowanlink/serving/endpoints"
 	"rowanlink/serving/event"
-	"rowanlink/serving/routing"
 	"rowanlink/serving/state"
 )
 
@@ -35,13 +35,12 @@
 // so each is first checked: whether it is running under the same ID, and how long it still warms up. Endpoints that have
 // sent a heartbeat or that other members know are left out.
 type endpointRestorer struct {
-	self    string // name of the member
-	store   endpointStore
-	latest  func() (state.Record, bool) // the newest committed record
-	table   endpointTable
-	publish func(state.Endpoint) // to the other members
-	check   func(ctx context.Context, saved state.Endpoint, path string) (state.Endpoint, error)
-	log     *zerolog.Logger
+	self      string // name of the member
+	store     endpointStore
+	confirmer *endpointConfirmer
+	table     endpointTable
+	publish   func(state.Endpoint) // to the other members
+	log       *zerolog.Logger
 }
 
 // run restores the endpoints once, and returns those that were saved.
@@ -54,12 +53,11 @@
 	if departed > 0 {
 		event.DeparturesKept.Log(r.log).Int("departed", departed).Send()
 	}
-	routes := r.awaitRouting(ctx)
-	if routes == nil {
+	if !r.awaitRecord(ctx) {
 		return saved
 	}
 	missing := r.selectMissing(saved)
-	restored := r.restoreConfirmed(ctx, missing, routes)
+	restored := r.restoreConfirmed(ctx, missing)
 	if len(missing) > 0 || departed > 0 {
 		event.EndpointsRestored.Log(r.log).
 			Int("saved", len(saved)).
@@ -102,40 +100,25 @@
 	return published
 }
 
-// awaitRouting returns the present routing, nil if there is none or no record is known within recordTimeout.
-func (r *endpointRestorer) awaitRouting(ctx context.Context) *routing.Table {
+// awaitRecord waits until a record is known, which has the paths of the health checks; false if none is within
+// recordTimeout.
+func (r *endpointRestorer) awaitRecord(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	ticker := time.NewTicker(recordPollInterval)
 	defer ticker.Stop()
 	for {
-		if record, known := r.latest(); known {
-			return routingOf(record)
+		if _, known := r.confirmer.latest(); known {
+			return true
 		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return nil
+			return false
 		}
 	}
 }
 
-// routingOf parses a record's configuration. It returns nil if there is none or it is invalid.
-func routingOf(record state.Record) *routing.Table {
-	if record.Configuration.Version == 0 {
-		return nil
-	}
-	document, err := record.Configuration.Decompress()
-	if err != nil {
-		return nil
-	}
-	table, err := routing.Parse(document)
-	if err != nil {
-		return nil
-	}
-	return table
-}
-
 // selectMissing returns the saved endpoints whose heartbeats this member received, that took requests, and that aren't
 // in the table.
 func (r *endpointRestorer) selectMissing(saved []state.Endpoint) (missing []state.Endpoint) {
@@ -155,35 +138,26 @@
 }
 
 // restoreConfirmed checks the endpoints and restores those that are confirmed. It returns their number.
-func (r *endpointRestorer) restoreConfirmed(
-	ctx context.Context, missing []state.Endpoint, routes *routing.Table,
-) (restored int) {
+func (r *endpointRestorer) restoreConfirmed(ctx context.Context, missing []state.Endpoint) int {
 	var checks sync.WaitGroup
-	var mutex sync.Mutex // guards restored
+	var restored atomic.Int64
 	slots := make(chan struct{}, maxConcurrentHealthChecks)
 	for _, endpoint := range missing {
-		service, known := routes.Service(endpoint.Service)
-		if !known || service.HealthPath == "" {
-			continue
-		}
 		slots <- struct{}{}
 		checks.Go(func() {
 			defer func() { <-slots }()
-			if !r.restore(ctx, endpoint, service.HealthPath) {
-				return
+			if r.restore(ctx, endpoint) {
+				restored.Add(1)
 			}
-			mutex.Lock()
-			restored++
-			mutex.Unlock()
 		})
 	}
 	checks.Wait()
-	return restored
+	return int(restored.Load())
 }
 
 // restore checks one endpoint, restores it and publishes it. It reports whether the endpoint was restored.
-func (r *endpointRestorer) restore(ctx context.Context, saved state.Endpoint, healthPath string) bool {
-	confirmed, err := r.check(ctx, saved, healthPath)
+func (r *endpointRestorer) restore(ctx context.Context, saved state.Endpoint) bool {
+	confirmed, err := r.confirmer.confirm(ctx, saved)
 	if err != nil || !r.table.Restore(confirmed) {
 		return false
 	}
--- a/serving/core/endpoints.go
+++ b/serving/core/endpoints.go
@@ -27,20 +27,14 @@
 	c.endpoints.Serve(c.inner)
 	c.members.SetPersister(c.endpoints.PersistEntries)
 	go saver.run(lifetime)
-	go c.restoreEndpoints(lifetime, endpointStore, saver)
-}
-
-// restoreEndpoints restores the endpoints that were saved, and then has the changes of the table saved.
-func (c *coreProcess) restoreEndpoints(ctx context.Context, endpointStore *store.EndpointStore, saver *endpointSaver) {
 	restorer := &endpointRestorer{
-		self:    c.options.Settings.NodeName,
-		store:   endpointStore,
-		latest:  c.node.Latest,
-		table:   c.endpoints.Table(),
-		publish: c.endpoints.Put,
-		check:   newHealthChecker().check,
-		log:     c.options.Log,
+		self:      process.NodeName,
+		store:     endpointStore,
+		confirmer: confirmer,
+		table:     c.endpoints.Table(),
+		publish:   c.endpoints.Put,
+		log:       c.options.Log,
 	}
-	saved := restorer.run(ctx)
-	saver.startPeriodicSaves(c.endpoints.Table(), saved)
+	// Until the saved endpoints are restored only departures are saved.
+	go func() { saver.startPeriodicSaves(restorer.table, restorer.run(lifetime)) }()
 }
--- a/serving/core/endpoints_test.go
+++ b/serving/core/endpoints_test.go
@@ -106,24 +106,26 @@
 	log := zerolog.Nop()
 	f := &restorerFixture{}
 	f.endpointRestorer = &endpointRestorer{
-		self:   "m",
-		store:  saved,
-		latest: committedRecord(t),
-		table:  table,
+		self:  "m",
+		store: saved,
+		table: table,
 		publish: func(endpoint state.Endpoint) {
 			f.mutex.Lock()
 			defer f.mutex.Unlock()
 			f.published = append(f.published, endpoint.ID)
 		},
-		check: func(_ context.Context, endpoint state.Endpoint, path string) (state.Endpoint, error) {
-			f.mutex.Lock()
-			f.checked = append(f.checked, endpoint.ID+path)
-			f.mutex.Unlock()
-			if endpoint.ID == "dead" {
-				return endpoint, errUnconfirmed
-			}
-			endpoint.WarmupLeftMillis = 1500
-			return endpoint, nil
+		confirmer: &endpointConfirmer{
+			latest: committedRecord(t),
+			check: func(_ context.Context, endpoint state.Endpoint, path string) (state.Endpoint, error) {
+				f.mutex.Lock()
+				f.checked = append(f.checked, endpoint.ID+path)
+				f.mutex.Unlock()
+				if endpoint.ID == "dead" {
+					return endpoint, errUnconfirmed
+				}
+				endpoint.WarmupLeftMillis = 1500
+				return endpoint, nil
+			},
 		},
 		log: &log,
 	}
@@ -185,7 +187,7 @@
 		table := endpoints.Start(endpoints.Options{Self: "m", HeartbeatInterval: time.Second}, time.Now)
 		defer table.Stop()
 		f := newRestorerFixture(t, saved, table)
-		f.latest = func() (state.Record, bool) { return state.Record{}, false }
+		f.confirmer.latest = func() (state.Record, bool) { return state.Record{}, false }
 		begun := time.Now()
 		f.run(t.Context())
 		assert.Empty(t, f.checked)
