--- a/test/integration/serving/departure_test.go
+++ b/test/integration/serving/departure_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -27,6 +29,11 @@
 	observedTime = 4 * time.Second
 	// outageTime is how long all cores are down.
 	outageTime = 500 * time.Millisecond
+	// lockedTime is how long disks stay locked; the endpoint's missing heartbeats count only after it.
+	lockedTime = 7 * time.Second
+	// sqliteLockStart and sqliteLockLength are the bytes of a file that SQLite locks, from PENDING_BYTE on.
+	sqliteLockStart  = 0x40000000
+	sqliteLockLength = 512
 	// lateHeartbeatDelay is how long after a departure the first late heartbeat arrives.
 	lateHeartbeatDelay = 11 * time.Second
 	// firstLeavingNumber plus the index of the scenario is the number of the endpoint that leaves.
@@ -49,6 +56,8 @@
 			restartAllCoresTwice},
 		{"deregistration while one core is down that returns with an older disk", (*endpoint.Endpoint).Deregister,
 			killFirstCore, restartAllCores},
+		{"deregistration, the disks can't be read for a while after the restart", (*endpoint.Endpoint).Deregister,
+			func(*cluster) {}, restartAllCoresWithLockedDisks},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
 			leaving := c.startEndpoint(stockOptions(), firstLeavingNumber+i, locations[i%len(locations)])
@@ -293,6 +302,37 @@
 	}
 }
 
+// restartAllCoresWithLockedDisks restarts all cores while the locks of the killed processes last on, as on some shared
+// file systems: the disks can't be read for lockedTime.
+func restartAllCoresWithLockedDisks(c *cluster) {
+	c.killAllCoresAtOnce()
+	for _, n := range c.cores {
+		files, err := filepath.Glob(filepath.Join(n.store, "*.db"))
+		require.NoError(c.t, err)
+		require.NotEmpty(c.t, files)
+		for _, file := range files {
+			c.lockDatabase(file)
+		}
+	}
+	for _, n := range c.cores {
+		n.start()
+	}
+}
+
+// lockDatabase locks an SQLite file for lockedTime, as another process that writes to it does.
+func (c *cluster) lockDatabase(path string) {
+	file, err := os.OpenFile(path, os.O_RDWR, 0)
+	require.NoError(c.t, err)
+	lock := unix.Flock_t{Type: unix.F_WRLCK, Start: sqliteLockStart, Len: sqliteLockLength}
+	require.NoError(c.t, unix.FcntlFlock(file.Fd(), unix.F_SETLK, &lock))
+	unlock := time.AfterFunc(lockedTime, func() { _ = file.Close() }) // the lock ends with it
+	c.t.Cleanup(func() {
+		if unlock.Stop() {
+			_ = file.Close()
+		}
+	})
+}
+
 func restartAllCoresTwice(c *cluster) {
 	restartAllCores(c)
 	time.Sleep(300 * time.Millisecond)
