test/integration/serving: a stopped proxy beside cores that have joined, and beside cores that join

It now asks for both: within the endpoint's second while the cores join, and with the same bounds as before once they have joined.

--- a/test/integration/serving/departure_test.go
+++ b/test/integration/serving/departure_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
+	"rowanlink/serving/delivery"
 	"rowanlink/test/fake/endpoint"
 )
 
@@ -142,12 +143,18 @@
 }
 
 // TestDeparture_StoppedProxyDelaysNoAcknowledgement: a departure is acknowledged within the second that an endpoint waits
-// beside a proxy that is suspended, and the following ones aren't delayed by it.
+// beside a proxy that is suspended, also by cores that have just started, and the following ones aren't delayed by it.
 func TestDeparture_StoppedProxyDelaysNoAcknowledgement(t *testing.T) {
 	c := startCluster(t)
 	c.awaitMembers()
 	require.NoError(t, c.proxies[0].process.Signal(syscall.SIGSTOP))
 	defer func() { require.NoError(t, c.proxies[0].process.Signal(syscall.SIGCONT)) }()
+	for i := range 2 {
+		begun := time.Now()
+		assert.Equal(t, http.StatusOK, c.deregisterAt(c.cores[0], fmt.Sprintf("joining-%d", i)))
+		assert.Less(t, time.Since(begun), time.Second, "departure %d while the cores join", i)
+	}
+	time.Sleep(delivery.JoinTime)
 	for i, longest := range []time.Duration{time.Second, 200 * time.Millisecond, 200 * time.Millisecond} {
 		begun := time.Now()
 		status := c.deregisterAt(c.cores[0], fmt.Sprintf("beside-%d", i))
