serving/delivery: agents that were slow or seem down are sent departures all the same

Callers could see requests at an endpoint after its acknowledged sign-off where all core members were lost right after it: an agent that hadn't confirmed once within 400 ms was left out of all departures for the next 5 s, and one that the acknowledging member took for down was left out altogether. Both depended on gossip, which ends with the core. On a slow machine that may be any agent. Shown by the test only; no run of real processes has met it.

They are now sent each departure without being waited for, one call at a time, for AgentTimeout. An agent that confirms one is waited for again at once. Cancel of a notification is gone with it: a departure that can't be acknowledged is gossiped all the same.

--- a/serving/core/appliedregister.go
+++ b/serving/core/appliedregister.go
@@ -44,8 +44,9 @@
 		Uint64("revision", record.Revision).
 		Dur("committed_ms", committed).
 		Dur("applied_ms", time.Since(begun)).
-		Int("agents", notified.Agents()).
+		Int("agents", notified.Awaited()).
 		Int("unconfirmed", unconfirmed).
+		Int("not_awaited", notified.Unawaited()).
 		Send()
 	return record, nil
 }
--- a/serving/core/appliedregister_test.go
+++ b/serving/core/appliedregister_test.go
@@ -29,6 +29,19 @@
 
 func (r slowRegister) Read(context.Context) (state.Record, error) { return state.Record{}, r.err }
 
+// fakeAgents plays the members: two agents, with the function that delivers entries to them.
+type fakeAgents func(ctx context.Context, address string, entries []gossip.Entry) error
+
+func (fakeAgents) Members() []state.Member {
+	return []state.Member{{Address: "a", Role: state.RoleAgent}, {Address: "b", Role: state.RoleAgent}}
+}
+
+func (fakeAgents) DownMembers() []state.Member { return nil }
+
+func (f fakeAgents) PushApplied(ctx context.Context, address string, entries []gossip.Entry) error {
+	return f(ctx, address, entries)
+}
+
 // TestAppliedRegister_WaitsForProxies guards against acknowledged changes that only core members know of. The wait leaves
 // the operator's second alone.
 func TestAppliedRegister_WaitsForProxies(t *testing.T) {
@@ -47,10 +60,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				members := func() []state.Member {
-					return []state.Member{{Address: "a", Role: state.RoleAgent}, {Address: "b", Role: state.RoleAgent}}
-				}
-				push := func(ctx context.Context, address string, entries []gossip.Entry) error {
+				agents := fakeAgents(func(ctx context.Context, address string, entries []gossip.Entry) error {
 					assert.Equal(t, []gossip.Entry{{Table: gossip.TableRecord, Key: gossip.RecordKey,
 						Version: gossip.NewVersion(7, 0)}}, entries)
 					if test.suspended && address == "b" {
@@ -59,9 +69,9 @@
 					}
 					time.Sleep(applyTime)
 					return nil
-				}
+				})
 				log := zerolog.Nop()
-				r := &appliedRegister{ReplicatedRegister: test.register, log: &log, agents: delivery.NewAgentNotifier(members, push)}
+				r := &appliedRegister{ReplicatedRegister: test.register, log: &log, agents: delivery.NewAgentNotifier(agents)}
 				time.Sleep(delivery.JoinTime)
 				for _, expected := range []time.Duration{test.first, test.later} {
 					begun := time.Now()
--- a/serving/core/run.go
+++ b/serving/core/run.go
@@ -164,7 +164,7 @@
 	}
 	applied := &appliedRegister{
 		ReplicatedRegister: c.node,
-		agents:             delivery.NewAgentNotifier(c.members.Members, c.members.PushApplied),
+		agents:             delivery.NewAgentNotifier(c.members),
 		log:                c.options.Log,
 	}
 	mux := http.NewServeMux()
--- a/serving/delivery/agentnotifier.go
+++ b/serving/delivery/agentnotifier.go
@@ -13,8 +13,8 @@
 const (
 	// AgentTimeout bounds the wait for the agents. An endpoint waits a second for its acknowledgement.
 	AgentTimeout = 400 * time.Millisecond
-	// AgentSkipTime is how long an agent that hasn't confirmed in time isn't waited for: its machine may be suspended or
-	// unreachable, and the acknowledgements of others mustn't be late because of that.
+	// AgentSkipTime is how long an agent that hasn't confirmed in time isn't waited for, unless it confirms before: its
+	// machine may be suspended or unreachable, and the acknowledgements of others mustn't be late because of that.
 	AgentSkipTime = 5 * time.Second
 	// agentInterval is the least time between two calls to an agent.
 	agentInterval = 50 * time.Millisecond
@@ -24,10 +24,17 @@
 	joinPollInterval = 20 * time.Millisecond
 )
 
+// Members are the members that a notifier sends to; member.Service implements it.
+type Members interface {
+	Members() []state.Member     // those that are live
+	DownMembers() []state.Member // those that are down, as far as is known here
+	PushApplied(ctx context.Context, address string, entries []gossip.Entry) error
+}
+
 // AgentNotifier sends entries to the agents of all machines and waits until their proxies have applied them. What they
 // have applied holds also while no core member runs that could tell them. It is safe for concurrent use.
 type AgentNotifier struct {
-	members func() []state.Member // those that are live
+	members Members
 	sender  *BatchSender
 	started time.Time
 
@@ -35,18 +42,30 @@
 	skipped map[string]time.Time // agents that aren't waited for, by address: until when
 }
 
-// NewAgentNotifier returns a notifier of the agents among the members that are live.
-func NewAgentNotifier(members func() []state.Member, push PushFunc) *AgentNotifier {
-	return &AgentNotifier{
+// NewAgentNotifier returns a notifier of the agents among the members.
+func NewAgentNotifier(members Members) *AgentNotifier {
+	n := &AgentNotifier{
 		members: members,
-		sender: NewBatchSender(push, BatchOptions{
-			MaxCalls:    1,
-			CallTimeout: AgentTimeout,
-			MinInterval: agentInterval,
-		}),
 		started: time.Now(),
 		skipped: map[string]time.Time{},
 	}
+	n.sender = NewBatchSender(n.push, BatchOptions{
+		MaxCalls:    1,
+		CallTimeout: AgentTimeout,
+		MinInterval: agentInterval,
+	})
+	return n
+}
+
+// push sends entries to an agent. One that confirms them is waited for again.
+func (n *AgentNotifier) push(ctx context.Context, address string, entries []gossip.Entry) error {
+	err := n.members.PushApplied(ctx, address, entries)
+	if err == nil {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		delete(n.skipped, address)
+	}
+	return err
 }
 
 // isJoining reports whether agents may not be known yet.
@@ -54,22 +73,23 @@
 
 // Notification is an entry on its way to the agents.
 type Notification struct {
-	notifier *AgentNotifier
-	send     func(address string) (result <-chan error)
-	timeout  <-chan struct{} // closed AgentTimeout after the start
-	cancel   context.CancelFunc
-	pending  map[string]<-chan error // the agents that are waited for, by address
+	notifier  *AgentNotifier
+	send      func(address string) (result <-chan error)
+	timeout   <-chan struct{}         // closed AgentTimeout after the start
+	awaited   map[string]<-chan error // by address
+	unawaited map[string]bool         // by address: agents that the entry was sent to all the same
 }
 
-// Start sends an entry to all agents. One without a value is only awaited: they get it by gossip. The caller calls Wait
-// or Cancel; the end of ctx cancels nothing, since agents that aren't given their time would count as unresponsive.
+// Start sends an entry to all agents. One without a value is only awaited: they get it by gossip. The end of ctx cancels
+// nothing, since agents that aren't given their time would count as unresponsive.
 func (n *AgentNotifier) Start(ctx context.Context, entry gossip.Entry) *Notification {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), AgentTimeout)
+	context.AfterFunc(ctx, cancel)
 	started := &Notification{
-		notifier: n,
-		timeout:  ctx.Done(),
-		cancel:   cancel,
-		pending:  map[string]<-chan error{},
+		notifier:  n,
+		timeout:   ctx.Done(),
+		awaited:   map[string]<-chan error{},
+		unawaited: map[string]bool{},
 		send: func(address string) <-chan error {
 			result := make(chan error, 1)
 			n.sender.Send(ctx, address, entry, result)
@@ -82,26 +102,48 @@
 
 // sendToNew sends the entry to the agents that it hasn't been sent to.
 func (n *Notification) sendToNew() {
-	for _, address := range n.notifier.addresses() {
-		if _, sent := n.pending[address]; !sent {
-			n.pending[address] = n.send(address)
+	awaited, unawaited := n.notifier.addresses()
+	for _, address := range awaited {
+		if !n.isSentTo(address) {
+			n.awaited[address] = n.send(address)
 		}
 	}
+	for _, address := range unawaited {
+		if !n.isSentTo(address) {
+			n.unawaited[address] = true
+			n.send(address)
+		}
+	}
+}
+
+func (n *Notification) isSentTo(address string) bool {
+	_, isAwaited := n.awaited[address]
+	return isAwaited || n.unawaited[address]
 }
 
-// addresses returns the agents to be waited for. The others get the entry by gossip.
-func (n *AgentNotifier) addresses() (addresses []string) {
+// addresses returns the agents that are waited for, and the others: those that haven't confirmed lately, and those that
+// are down. They may be just slow, and may have no other source once no core member runs.
+func (n *AgentNotifier) addresses() (awaited, unawaited []string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
 	maps.DeleteFunc(n.skipped, func(_ string, until time.Time) bool { return !now.Before(until) })
-	for _, member := range n.members() {
+	for _, member := range n.members.Members() {
 		_, isSkipped := n.skipped[member.Address]
-		if member.Role == state.RoleAgent && !isSkipped {
-			addresses = append(addresses, member.Address)
+		switch {
+		case member.Role != state.RoleAgent:
+		case isSkipped:
+			unawaited = append(unawaited, member.Address)
+		default:
+			awaited = append(awaited, member.Address)
+		}
+	}
+	for _, member := range n.members.DownMembers() {
+		if member.Role == state.RoleAgent {
+			unawaited = append(unawaited, member.Address)
 		}
 	}
-	return addresses
+	return awaited, unawaited
 }
 
 // skip records that an agent hasn't confirmed in time. While this member is joining, it may just not have had the time.
@@ -114,17 +156,17 @@
 	n.skipped[address] = time.Now().Add(AgentSkipTime)
 }
 
-// Cancel ends the wait. Entries that are still queued aren't sent.
-func (n *Notification) Cancel() { n.cancel() }
+// Awaited returns the number of agents that are waited for.
+func (n *Notification) Awaited() int { return len(n.awaited) }
 
-// Agents returns the number of agents that were notified.
-func (n *Notification) Agents() int { return len(n.pending) }
+// Unawaited returns the number of agents that the entry was sent to without waiting for them.
+func (n *Notification) Unawaited() int { return len(n.unawaited) }
 
-// Wait waits until all agents have confirmed or AgentTimeout is over, and returns the number of those that have not.
+// Wait waits until the awaited agents have confirmed or AgentTimeout is over, and returns the number of those that have
+// not.
 func (n *Notification) Wait() (unconfirmed int) {
-	defer n.cancel()
 	n.awaitJoin()
-	for address, result := range n.pending {
+	for address, result := range n.awaited {
 		if !isConfirmed(result, n.timeout) {
 			unconfirmed++
 			n.notifier.skip(address)
--- a/serving/endpoints/exchange/exchange.go
+++ b/serving/endpoints/exchange/exchange.go
@@ -28,9 +28,8 @@
 type Gossip interface {
 	Put(entry gossip.Entry)
 	PushDurable(ctx context.Context, address string, entries []gossip.Entry) error
-	PushApplied(ctx context.Context, address string, entries []gossip.Entry) error
 	Subscribe(table gossip.TableID, call func(gossip.Entry))
-	Members() []state.Member // those that are live
+	delivery.Members
 	Self() state.Member
 	AcquireRole(name string, scope singleton.Scope) singleton.Assignment
 }
@@ -74,7 +73,7 @@
 		table:    endpoints.Start(tableOptions, time.Now),
 		persist:  options.Persist,
 		replicas: delivery.NewBatchSender(members.PushDurable, replicaCalls),
-		agents:   delivery.NewAgentNotifier(members.Members, members.PushApplied),
+		agents:   delivery.NewAgentNotifier(members),
 		confirm:  options.Confirm,
 
 		successors: make(chan state.Endpoint, maxWaitingSuccessors),
--- a/serving/endpoints/exchange/exchange_test.go
+++ b/serving/endpoints/exchange/exchange_test.go
@@ -65,6 +65,8 @@
 
 func (f *fakeGossip) Members() []state.Member { return f.live }
 
+func (f *fakeGossip) DownMembers() []state.Member { return nil }
+
 func (f *fakeGossip) Self() state.Member { return state.Member{Name: "core-1"} }
 
 func (f *fakeGossip) AcquireRole(string, singleton.Scope) singleton.Assignment {
--- a/serving/endpoints/exchange/replication.go
+++ b/serving/endpoints/exchange/replication.go
@@ -18,9 +18,8 @@
 
 // PutReplicated gossips an endpoint and returns once it is on the disks of a majority of the voters, so that neither
 // the end of all processes nor a loss of power undoes it, and the proxies have applied it, so that it holds however long
-// no core member runs. The wait for the proxies is bounded by
-// delivery.AgentTimeout: one that is suspended or unreachable gets
-// the endpoint by gossip. It fails with errcode.NotAcknowledged where the disks can't be reached or don't confirm before
+// no core member runs. The wait for the proxies is bounded by delivery.AgentTimeout: one that is suspended or unreachable
+// gets the endpoint by gossip. It fails with errcode.NotAcknowledged where the disks can't be reached or don't confirm before
 // ctx ends. The endpoint is sent to all targets and gossiped in any case.
 func (x *Exchange) PutReplicated(ctx context.Context, endpoint state.Endpoint, targets quorum.Targets) error {
 	entry, err := encodeEntry(endpoint)
@@ -31,7 +30,6 @@
 	x.gossip.Put(entry)
 	notified := x.agents.Start(ctx, entry)
 	if err := x.storeReplicated(ctx, endpoint, entry, targets); err != nil {
-		notified.Cancel()
 		return err
 	}
 	stored := time.Since(begun)
@@ -40,8 +38,9 @@
 		Str("endpoint", endpoint.ID).
 		Dur("stored_ms", stored).
 		Dur("applied_ms", time.Since(begun)).
-		Int("agents", notified.Agents()).
+		Int("agents", notified.Awaited()).
 		Int("unconfirmed", unconfirmed).
+		Int("not_awaited", notified.Unawaited()).
 		Send()
 	return nil
 }
--- a/serving/endpoints/exchange/replication_test.go
+++ b/serving/endpoints/exchange/replication_test.go
@@ -60,7 +60,7 @@
 		gossip:   f,
 		persist:  func(ctx context.Context, _ []state.Endpoint) error { return local.store(ctx) },
 		replicas: delivery.NewBatchSender(f.PushDurable, replicaCalls),
-		agents:   delivery.NewAgentNotifier(f.Members, f.PushApplied),
+		agents:   delivery.NewAgentNotifier(f),
 		log:      &log,
 	}
 }
