--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint catalogue run toy system system-toy chaos-cluster chaos-serving random-register random-members mutants
+.PHONY: build test lint catalogue run toy system system-toy chaos-cluster chaos-serving random-register random-members mutants soak soak-reduce
 
 # As deploy/balancer.toml does: the users' machines ask for a program that is linked against the C library.
 export CGO_ENABLED = 1
@@ -21,6 +21,15 @@
 chaos-serving:
 	ROWAN_HUNT=$(or $(N),10) ROWAN_SEED=$(SEED) go test -count=1 -timeout 0 -v -run TestChaos ./test/integration/serving
 
+# Timelines of faults that overlap and come in series, at whole serving systems: N seeds, from SEED on where it is given, four
+# at a time. Those that broke a rule are written to SOAK_DIR; TIMELINE=FILE plays one again, and soak-reduce cuts it down.
+SOAK_DIR ?= /tmp
+soak:
+	ROWAN_SOAK=$(or $(N),10) ROWAN_SEED=$(SEED) ROWAN_SOAK_DIR=$(SOAK_DIR) ROWAN_TIMELINE=$(TIMELINE) \
+		go test -count=1 -timeout 0 -parallel 4 -v -run 'TestSoak$$' ./test/integration/serving
+soak-reduce:
+	ROWAN_REDUCE=1 ROWAN_TIMELINE=$(TIMELINE) go test -count=1 -timeout 0 -v -run 'TestSoak$$' ./test/integration/serving
+
 # Random histories of the register: N of three machines and N of five.
 random-register:
 	go test -count=1 -timeout 0 -v -run 'TestRandomHistories$$' ./serving/register -rapid.checks=$(or $(N),1000) | grep -v '/history'
--- a/test/integration/serving/ledger_test.go
+++ b/test/integration/serving/ledger_test.go
@@ -115,6 +115,16 @@
 	return runs
 }
 
+// proxyOf returns the proxy that a client sent an attempt to; empty: no client made it.
+func (l *requestLedger) proxyOf(attempt string) string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if known := l.attempts[attempt]; known != nil {
+		return known.proxy
+	}
+	return ""
+}
+
 // countResult returns the number of attempts with a result.
 func (l *requestLedger) countResult(result attemptResult) (n int) {
 	l.mutex.Lock()
