--- a/test/integration/serving/control_test.go
+++ b/test/integration/serving/control_test.go
@@ -38,7 +38,12 @@
 
 // call sends a request and returns the status and the body; zero if there was no response in time.
 func (n *node) call(o operatorRequest) (status int, answer string) {
-	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	return n.callUntil(context.Background(), o)
+}
+
+// callUntil is call until a context ends.
+func (n *node) callUntil(ctx context.Context, o operatorRequest) (status int, answer string) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, o.method, "http://"+n.address(portControl)+o.path, bytes.NewReader(o.body))
 	if err != nil {
--- a/test/integration/serving/soak_reads_test.go
+++ b/test/integration/serving/soak_reads_test.go
@@ -56,7 +56,7 @@
 			return
 		}
 		sent := time.Now()
-		status, text := n.call(operatorRequest{method: http.MethodGet, path: "/Settings.Read"})
+		status, text := n.callUntil(ctx, operatorRequest{method: http.MethodGet, path: "/Settings.Read"})
 		var document configurationDocument
 		if status != http.StatusOK || json.Unmarshal([]byte(text), &document) != nil {
 			continue
