test/integration/serving, test/soak/timeline: a soak with five core machines, and cuts between machines

Core machines are cut off from all others for up to 6 s, as many as may be lost; operators and endpoints reach both sides. make soak CORES=5 plays systems with five of them. ROWAN_SOAK_PROGRAMS plays programs of another version.

--- a/Makefile
+++ b/Makefile
@@ -22,13 +22,13 @@
 	ROWAN_HUNT=$(or $(N),10) ROWAN_SEED=$(SEED) go test -count=1 -timeout 0 -v -run TestChaos ./test/integration/serving
 
 # Timelines of faults that overlap and come in series, at whole serving systems: N seeds, from SEED on where it is given, four
-# at a time. Those that broke a rule are written to SOAK_DIR; TIMELINE=FILE plays one again, and soak-reduce cuts it down.
+# at a time, with three core machines or CORES=5. Those that broke a rule are written to SOAK_DIR; TIMELINE=FILE plays one again, and soak-reduce cuts it down.
 SOAK_DIR ?= /tmp
 soak:
-	ROWAN_SOAK=$(or $(N),10) ROWAN_SEED=$(SEED) ROWAN_SOAK_DIR=$(SOAK_DIR) ROWAN_TIMELINE=$(TIMELINE) \
+	ROWAN_SOAK=$(or $(N),10) ROWAN_SEED=$(SEED) ROWAN_SOAK_DIR=$(SOAK_DIR) ROWAN_TIMELINE=$(TIMELINE) ROWAN_SOAK_CORES=$(CORES) \
 		go test -count=1 -timeout 0 -parallel 4 -v -run 'TestSoak$$' ./test/integration/serving
 soak-reduce:
-	ROWAN_REDUCE=1 ROWAN_TIMELINE=$(TIMELINE) go test -count=1 -timeout 0 -v -run 'TestSoak$$' ./test/integration/serving
+	ROWAN_REDUCE=1 ROWAN_SOAK_CORES=$(CORES) ROWAN_TIMELINE=$(TIMELINE) go test -count=1 -timeout 0 -v -run 'TestSoak$$' ./test/integration/serving
 
 # Random histories of the register: N of three machines and N of five.
 random-register:
--- a/test/integration/serving/cluster_test.go
+++ b/test/integration/serving/cluster_test.go
@@ -48,10 +48,8 @@
 
 // cluster is a complete serving system with its endpoints and its operator.
 type cluster struct {
-	t        *testing.T
-	programs programSelector
-	// heartbeatInterval is the time between two heartbeats of an endpoint.
-	heartbeatInterval time.Duration
+	t *testing.T
+	clusterOptions
 
 	folder  string // of settings and disks
 	network string // the first three numbers of all addresses
@@ -86,11 +84,28 @@
 // startClusterWithHeartbeats is startClusterWithSelector with another interval between heartbeats.
 func startClusterWithHeartbeats(t *testing.T, programs programSelector, interval time.Duration) *cluster {
 	t.Helper()
-	c := &cluster{
-		t:        t,
-		programs: programs,
-
+	return startClusterOf(t, clusterOptions{
+		programs:          programs,
 		heartbeatInterval: interval,
+		coreCount:         machinesPerRole,
+		coreLosses:        1,
+	})
+}
+
+// clusterOptions are the properties of a system.
+type clusterOptions struct {
+	programs          programSelector
+	heartbeatInterval time.Duration // between two heartbeats of an endpoint
+	coreCount         int           // core machines, in the zones in turn
+	coreLosses        int           // that the system must withstand
+}
+
+// startClusterOf starts a new system and waits until all of it serves.
+func startClusterOf(t *testing.T, options clusterOptions) *cluster {
+	t.Helper()
+	c := &cluster{
+		t:              t,
+		clusterOptions: options,
 
 		network: uniqueLoopbackNetwork(),
 		ledger:  newLedger(),
@@ -98,8 +113,10 @@
 	}
 	t.Cleanup(c.stopAll)
 	c.folder = t.TempDir()
+	for i := range c.coreCount {
+		c.cores = append(c.cores, c.newNode(programCore, firstCoreNumber+i, locations[i%len(locations)]))
+	}
 	for i, p := range locations {
-		c.cores = append(c.cores, c.newNode(programCore, firstCoreNumber+i, p))
 		c.agents = append(c.agents, c.newNode(programAgent, firstProxyNumber+i, p))
 		c.proxies = append(c.proxies, c.newNode(programProxy, firstProxyNumber+i, p))
 	}
@@ -139,7 +156,8 @@
 	}
 	n.settingsLines = []string{"node_name=" + n.name, "ip_addr=" + n.ip, "zone=" + p.zone, "region=" + p.region,
 		fmt.Sprintf("port_range=%d,%d", portMembers, portLast), "seed_nodes=" + strings.Join(c.controlAddresses(), ","),
-		fmt.Sprintf("beat_ms=%d", c.heartbeatInterval.Milliseconds()), "limits.ram_mb=280", "limits.file_limit=4096", "withstand.machine_losses=1", "withstand.zones=1"}
+		fmt.Sprintf("beat_ms=%d", c.heartbeatInterval.Milliseconds()), "limits.ram_mb=280", "limits.file_limit=4096",
+		fmt.Sprintf("withstand.machine_losses=%d", c.coreLosses), "withstand.zones=1"}
 	for _, each := range locations {
 		n.settingsLines = append(n.settingsLines, "zones."+each.zone+"="+each.region)
 	}
@@ -157,7 +175,7 @@
 
 // controlAddresses returns the control addresses of all cores.
 func (c *cluster) controlAddresses() (all []string) {
-	for i := range machinesPerRole {
+	for i := range c.coreCount {
 		all = append(all, c.address(firstCoreNumber+i, portControl))
 	}
 	return all
--- a/test/integration/serving/soak_player_test.go
+++ b/test/integration/serving/soak_player_test.go
@@ -55,6 +55,7 @@
 	sentVersion   uint64      // of the newest configuration that was sent, by operatorCalls
 	newestRoute   string      // of the newest acknowledged configuration
 
+	cuts       [][]*node            // core machines that are cut off from all others, by event
 	leaving    []*endpoint.Endpoint // by the index of the timeline
 	departures []soakDeparture
 	versions   []acknowledgedVersion
@@ -66,11 +67,17 @@
 	acknowledged time.Time
 }
 
-// newSoakPlayer starts a system with the endpoints that will leave.
-func newSoakPlayer(t *testing.T, drawn timeline.Timeline) *soakPlayer {
+// newSoakPlayer starts a system of the timeline's size, with the endpoints that will leave. The programs are those of a
+// folder, built by buildPartitionable.
+func newSoakPlayer(t *testing.T, drawn timeline.Timeline, programs string) *soakPlayer {
 	t.Helper()
 	p := &soakPlayer{
-		cluster:       startClusterWithHeartbeats(t, func(string, int) string { return "" }, chaosHeartbeatInterval),
+		cluster: startClusterOf(t, clusterOptions{
+			programs:          func(string, int) string { return programs },
+			heartbeatInterval: chaosHeartbeatInterval,
+			coreCount:         drawn.Size.Cores,
+			coreLosses:        drawn.Size.CoreLosses,
+		}),
 		timeline:      drawn,
 		touch:         newTouchRecord(),
 		acknowledged:  make(chan acknowledgement, maxAcknowledged),
@@ -145,6 +152,8 @@
 		p.suspendUntil(event)
 	case timeline.TerminateCore, timeline.TerminateAgent, timeline.TerminateProxy:
 		p.terminateUntil(event)
+	case timeline.CutCores:
+		p.cutUntil(event)
 	case timeline.Reload:
 		if n := p.cores[event.Targets[0]]; n.process.IsRunning() {
 			n.reload()
@@ -258,6 +267,37 @@
 	})
 }
 
+// cutUntil cuts core machines off from all others until the end of the event.
+func (p *soakPlayer) cutUntil(event timeline.Event) {
+	group := p.targetsOf(event)
+	p.cuts = append(p.cuts, group)
+	p.applyCuts()
+	p.schedule(time.Now().Add(event.For), func() {
+		p.cuts = slices.DeleteFunc(p.cuts, func(other []*node) bool { return &other[0] == &group[0] })
+		p.applyCuts()
+	})
+}
+
+// applyCuts sets which machines each process reaches. The core may be unstable from now on, for contactTime.
+func (p *soakPlayer) applyCuts() {
+	members := append(slices.Clone(p.cores), p.agents...)
+	for _, n := range members {
+		var unreachable []*node
+		for _, other := range members {
+			if p.isCut(n, other) {
+				unreachable = append(unreachable, other)
+			}
+		}
+		n.setUnreachable(unreachable...)
+	}
+	p.touch.addCore(time.Now(), time.Now())
+}
+
+// isCut reports whether a cut lies between two machines.
+func (p *soakPlayer) isCut(a, b *node) bool {
+	return slices.ContainsFunc(p.cuts, func(group []*node) bool { return slices.Contains(group, a) != slices.Contains(group, b) })
+}
+
 // terminateUntil shuts a process down, and starts it again at the end of the event or, if that is later, once it has
 // ended.
 func (p *soakPlayer) terminateUntil(event timeline.Event) {
--- a/test/integration/serving/soak_test.go
+++ b/test/integration/serving/soak_test.go
@@ -25,45 +25,87 @@
 	soakServedPerSecond = 10
 )
 
-// TestSoak plays timelines of faults that overlap and come in series: those of ROWAN_SOAK seeds, from ROWAN_SEED on or,
-// without it, from a new one; or that of the file ROWAN_TIMELINE. Without either it is a run of a fixed seed. Timelines
-// that broke a rule are written to ROWAN_SOAK_DIR, where it is set.
-func TestSoak(t *testing.T) {
-	if path := os.Getenv("ROWAN_TIMELINE"); path != "" {
-		file, err := os.Open(path)
-		require.NoError(t, err)
-		defer func() { _ = file.Close() }() // it was read
-		read, err := timeline.Read(file, timeline.Small)
-		require.NoError(t, err, path)
-		playTimeline(t, read)
-		if t.Failed() && os.Getenv("ROWAN_REDUCE") != "" {
-			reduceTimeline(t, read)
-		}
-		return
+// soakOptions say what TestSoak plays. Without any it is a run of a fixed seed.
+type soakOptions struct {
+	size      timeline.Size
+	seeds     int    // ROWAN_SOAK: the number of seeds
+	firstSeed uint64 // ROWAN_SEED; a new one where it isn't set
+	file      string // ROWAN_TIMELINE: a timeline that is played in place of seeds
+	reduce    bool   // ROWAN_REDUCE: the file's timeline is cut down to the events that break the rule
+	saveTo    string // ROWAN_SOAK_DIR: the folder for timelines that broke a rule
+	programs  string // ROWAN_SOAK_PROGRAMS: a folder with programs of another version
+}
+
+// readSoakOptions reads the options from the environment.
+func readSoakOptions(t *testing.T) soakOptions {
+	t.Helper()
+	options := soakOptions{
+		size:      timeline.Small,
+		firstSeed: uint64(time.Now().UnixMicro()),
+		file:      os.Getenv("ROWAN_TIMELINE"),
+		reduce:    os.Getenv("ROWAN_REDUCE") != "",
+		saveTo:    os.Getenv("ROWAN_SOAK_DIR"),
+		programs:  os.Getenv("ROWAN_SOAK_PROGRAMS"),
 	}
-	n, err := strconv.Atoi(os.Getenv("ROWAN_SOAK"))
-	if err != nil {
-		playTimeline(t, timeline.Generate(soakSeed, timeline.Small))
-		return
+	var err error
+	switch cores := os.Getenv("ROWAN_SOAK_CORES"); cores {
+	case "", "3":
+	case "5":
+		options.size = timeline.FiveCores
+	default:
+		require.Fail(t, "ROWAN_SOAK_CORES has to be 3 or 5", cores)
+	}
+	if text := os.Getenv("ROWAN_SOAK"); text != "" {
+		options.seeds, err = strconv.Atoi(text)
+		require.NoError(t, err, "ROWAN_SOAK")
 	}
-	first := uint64(time.Now().UnixMicro())
 	if text := os.Getenv("ROWAN_SEED"); text != "" {
-		first, err = strconv.ParseUint(text, 10, 64)
-		require.NoError(t, err)
+		options.firstSeed, err = strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err, "ROWAN_SEED")
+	}
+	if options.programs == "" {
+		options.programs = buildPartitionable(t)
 	}
-	for seed := first; seed < first+uint64(n); seed++ {
+	return options
+}
+
+// TestSoak plays timelines of faults that overlap and come in series.
+func TestSoak(t *testing.T) {
+	options := readSoakOptions(t)
+	switch {
+	case options.file != "":
+		playFile(t, options)
+	case options.seeds == 0:
+		playTimeline(t, timeline.Generate(soakSeed, options.size), options)
+	}
+	for i := range uint64(options.seeds) {
+		seed := options.firstSeed + i
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel() // as many at a time as -parallel allows
-			playTimeline(t, timeline.Generate(seed, timeline.Small))
+			playTimeline(t, timeline.Generate(seed, options.size), options)
 		})
 	}
 }
 
+// playFile plays the timeline of a file, and reduces it if it breaks a rule and that is asked for.
+func playFile(t *testing.T, options soakOptions) {
+	t.Helper()
+	file, err := os.Open(options.file)
+	require.NoError(t, err)
+	defer func() { _ = file.Close() }() // it was read
+	read, err := timeline.Read(file, options.size)
+	require.NoError(t, err, options.file)
+	holds := t.Run("all events", func(t *testing.T) { playTimeline(t, read, options) })
+	if !holds && options.reduce {
+		reduceTimeline(t, read, options)
+	}
+}
+
 // playTimeline plays a timeline at a new system and checks the rules.
-func playTimeline(t *testing.T, drawn timeline.Timeline) {
+func playTimeline(t *testing.T, drawn timeline.Timeline, options soakOptions) {
 	t.Helper()
-	player := newSoakPlayer(t, drawn)
-	defer player.saveIfFailed()
+	player := newSoakPlayer(t, drawn, options.programs)
+	defer player.saveIfFailed(options.saveTo)
 	load := player.startTraffic()
 	reader := player.startReader()
 	player.play()
@@ -84,11 +126,11 @@
 const reducePlays = 2
 
 // reduceTimeline cuts a timeline that broke a rule down, and logs what remains.
-func reduceTimeline(t *testing.T, broken timeline.Timeline) {
+func reduceTimeline(t *testing.T, broken timeline.Timeline, options soakOptions) {
 	t.Helper()
 	reduced := broken.Reduce(func(candidate timeline.Timeline) bool {
 		for range reducePlays {
-			if !t.Run(fmt.Sprintf("%d events", len(candidate.Events)), func(t *testing.T) { playTimeline(t, candidate) }) {
+			if !t.Run(fmt.Sprintf("%d events", len(candidate.Events)), func(t *testing.T) { playTimeline(t, candidate, options) }) {
 				return true
 			}
 		}
@@ -99,9 +141,8 @@
 	t.Logf("reduced to:\n%s", text.String())
 }
 
-// saveIfFailed writes the timeline of a failed run to ROWAN_SOAK_DIR.
-func (p *soakPlayer) saveIfFailed() {
-	folder := os.Getenv("ROWAN_SOAK_DIR")
+// saveIfFailed writes the timeline of a failed run to a folder, if there is one.
+func (p *soakPlayer) saveIfFailed(folder string) {
 	if !p.t.Failed() || folder == "" {
 		return
 	}
--- a/test/soak/timeline/generate.go
+++ b/test/soak/timeline/generate.go
@@ -30,7 +30,7 @@
 
 // kinds lists all kinds, in the order in which they are drawn. Those that are acknowledged are there more than once.
 var kinds = []Kind{
-	KillCore, LoseCoreDisk, SuspendCore, TerminateCore,
+	KillCore, LoseCoreDisk, SuspendCore, TerminateCore, CutCores, CutCores,
 	KillAgent, SuspendAgent, TerminateAgent,
 	KillProxy, SuspendProxy, TerminateProxy,
 	KillFronts, SuspendFronts,
@@ -98,8 +98,8 @@
 	event := Event{Kind: kinds[g.IntN(len(kinds))], At: at}
 	limit := limits[event.Kind]
 	event.Targets = g.drawTargets(limit)
-	if limit.lasting {
-		event.For = minAway + g.durationUpTo(MaxAway-minAway)
+	if limit.longest > 0 {
+		event.For = minAway + g.durationUpTo(limit.longest-minAway)
 	}
 	if limit.coreKills && g.Float64() < coreKillShare {
 		event.CoreKills = 1 + g.IntN(MaxCoreKills)
--- a/test/soak/timeline/limits.go
+++ b/test/soak/timeline/limits.go
@@ -19,6 +19,9 @@
 // Small is three core machines and three machines with agent and proxy, each in a zone of its own.
 var Small = Size{Cores: 3, Fronts: 3, Zones: 3, CoreLosses: 1, Endpoints: 6}
 
+// FiveCores has five core machines, two of which may be lost at once.
+var FiveCores = Size{Cores: 5, Fronts: 3, Zones: 3, CoreLosses: 2, Endpoints: 6}
+
 // Bounds of all sizes.
 const (
 	// CatchUp is how long a core machine counts as lost after it is back (bounds.catch_up_s).
@@ -27,6 +30,8 @@
 	Contact = 4 * time.Second
 	// MaxAway is the longest time that a process is away.
 	MaxAway = 3 * time.Second
+	// MaxCut is the longest time that machines are cut off.
+	MaxCut = 6 * time.Second
 	// MaxCoreOutage is the longest time that all core processes are away at once.
 	MaxCoreOutage = time.Second
 	// MaxCoreKills is the largest number of times in a row that all core processes are killed.
@@ -53,30 +58,32 @@
 // kindLimits are the limits of the events of a kind.
 type kindLimits struct {
 	target    target
-	several   bool // targets
-	lasting   bool // it is undone at its end
-	loses     bool // a core machine counts as lost
-	coreKills bool // may follow its acknowledgement
+	several   bool          // targets
+	longest   time.Duration // until it is undone; zero: it isn't
+	loses     bool          // its targets are core machines that count as lost
+	coreKills bool          // may follow its acknowledgement
 }
 
 var limits = map[Kind]kindLimits{
-	KillCore:      {target: core, lasting: true, loses: true},
-	LoseCoreDisk:  {target: core, lasting: true, loses: true},
-	SuspendCore:   {target: core, lasting: true, loses: true},
-	TerminateCore: {target: core, lasting: true, loses: true},
+	KillCore:      {target: core, longest: MaxAway, loses: true},
+	LoseCoreDisk:  {target: core, longest: MaxAway, loses: true},
+	SuspendCore:   {target: core, longest: MaxAway, loses: true},
+	TerminateCore: {target: core, longest: MaxAway, loses: true},
+
+	CutCores: {target: core, several: true, longest: MaxCut, loses: true},
 
-	KillAgent:      {target: agent, lasting: true},
-	SuspendAgent:   {target: agent, lasting: true},
-	TerminateAgent: {target: agent, lasting: true},
+	KillAgent:      {target: agent, longest: MaxAway},
+	SuspendAgent:   {target: agent, longest: MaxAway},
+	TerminateAgent: {target: agent, longest: MaxAway},
 
-	KillProxy:      {target: proxy, lasting: true},
-	SuspendProxy:   {target: proxy, lasting: true},
-	TerminateProxy: {target: proxy, lasting: true},
+	KillProxy:      {target: proxy, longest: MaxAway},
+	SuspendProxy:   {target: proxy, longest: MaxAway},
+	TerminateProxy: {target: proxy, longest: MaxAway},
 
-	KillFronts:    {target: front, several: true, lasting: true},
-	SuspendFronts: {target: front, several: true, lasting: true},
+	KillFronts:    {target: front, several: true, longest: MaxAway},
+	SuspendFronts: {target: front, several: true, longest: MaxAway},
 
-	Evacuate: {target: zone, lasting: true},
+	Evacuate: {target: zone, longest: MaxAway},
 
 	Reload:              {target: core},
 	ChangeConfiguration: {target: none, coreKills: true},
@@ -141,7 +148,7 @@
 		return ErrUnknownKind
 	case len(earlier) > 0 && event.At < earlier[len(earlier)-1].At:
 		return ErrOrder
-	case event.At < 0 || event.For < 0 || event.For > MaxAway || (event.For > 0) != limit.lasting:
+	case event.At < 0 || event.For < 0 || event.For > limit.longest || event.For == 0 && limit.longest > 0:
 		return ErrDuration
 	case !s.hasTargets(event, limit):
 		return ErrTargets
@@ -176,9 +183,7 @@
 // checkAgainst checks what an event does while earlier ones last.
 func (s Size) checkAgainst(event Event, earlier []Event) error {
 	lost := map[int]bool{}
-	if limits[event.Kind].loses {
-		lost[event.Targets[0]] = true
-	}
+	event.addLost(lost)
 	for _, before := range earlier {
 		switch {
 		case sharesProcess(before, event) && event.At <= before.End():
@@ -195,7 +200,7 @@
 		}
 		if limits[before.Kind].loses && event.At <= before.End()+CatchUp {
 			if len(lost) > 0 {
-				lost[before.Targets[0]] = true
+				before.addLost(lost)
 			}
 			if event.CoreKills > 0 && before.Kind == LoseCoreDisk {
 				return ErrLosses // with the disks of a majority the others must be enough
@@ -208,6 +213,16 @@
 	return nil
 }
 
+// addLost adds the core machines that an event loses.
+func (e Event) addLost(lost map[int]bool) {
+	if !limits[e.Kind].loses {
+		return
+	}
+	for _, number := range e.Targets {
+		lost[number] = true
+	}
+}
+
 // sharesProcess reports whether two events end or suspend the same process.
 func sharesProcess(a, b Event) bool {
 	for _, process := range a.processes() {
@@ -228,7 +243,9 @@
 func (e Event) processes() (all []process) {
 	switch limit := limits[e.Kind]; limit.target {
 	case core, agent, proxy:
-		return []process{{limit.target, e.Targets[0]}}
+		for _, number := range e.Targets {
+			all = append(all, process{limit.target, number})
+		}
 	case front:
 		for _, number := range e.Targets {
 			all = append(all, process{agent, number}, process{proxy, number})
--- a/test/soak/timeline/timeline.go
+++ b/test/soak/timeline/timeline.go
@@ -16,6 +16,10 @@
 	SuspendCore   Kind = "suspend-core"
 	TerminateCore Kind = "terminate-core"
 
+	// CutCores cuts core machines off from all other machines of the system, in both directions. Operators and endpoints
+	// reach them.
+	CutCores Kind = "cut-cores"
+
 	KillAgent      Kind = "kill-agent"
 	SuspendAgent   Kind = "suspend-agent"
 	TerminateAgent Kind = "terminate-agent"
--- a/test/soak/timeline/timeline_test.go
+++ b/test/soak/timeline/timeline_test.go
@@ -19,7 +19,7 @@
 	seenKinds := map[Kind]int{}
 	overlaps := map[[2]Kind]int{}
 	for seed := range uint64(drawnTimelines) {
-		drawn := Generate(seed, Small)
+		drawn := Generate(seed, []Size{Small, FiveCores}[seed%2])
 		if !assert.NoError(t, drawn.Check(), "seed %d", seed) || !assert.Equal(t, "", firstExcess(drawn), "seed %d", seed) {
 			return
 		}
@@ -35,6 +35,7 @@
 		assert.Positive(t, seenKinds[kind], kind)
 	}
 	t.Logf("%d pairs of kinds overlap in %d timelines", len(overlaps), drawnTimelines)
+	assert.Positive(t, overlaps[[2]Kind{CutCores, EndpointSignsOff}])
 	assert.Positive(t, overlaps[[2]Kind{EndpointSignsOff, SuspendCore}])
 	assert.Positive(t, overlaps[[2]Kind{EndpointSignsOff, KillFronts}])
 }
@@ -47,16 +48,18 @@
 			if event.At > at.At {
 				continue
 			}
-			isCoreLoss := slices.Contains([]Kind{KillCore, LoseCoreDisk, SuspendCore, TerminateCore}, event.Kind)
-			if isCoreLoss && at.At <= event.End()+CatchUp {
-				lostCores[event.Targets[0]] = true
+			isCoreLoss := slices.Contains([]Kind{KillCore, LoseCoreDisk, SuspendCore, TerminateCore, CutCores}, event.Kind)
+			for _, number := range event.Targets {
+				if isCoreLoss && at.At <= event.End()+CatchUp {
+					lostCores[number] = true
+				}
 			}
 			if event.Kind == Evacuate && at.At <= event.End() {
 				evacuated++
 			}
 		}
 		switch {
-		case len(lostCores) > Small.CoreLosses:
+		case len(lostCores) > drawn.Size.CoreLosses:
 			return "core losses at " + at.String()
 		case evacuated > 1:
 			return "evacuations at " + at.String()
@@ -98,6 +101,8 @@
 		{"2.000 kill-core for=1.000", ErrTargets},
 		{"2.000 kill-core for=1.000 targets=3", ErrTargets},
 		{"2.000 kill-core for=1.000 targets=1,2", ErrTargets},
+		{"2.000 cut-cores for=1.000 targets=1,2", ErrLosses},
+		{"2.000 cut-cores for=6.001 targets=1", ErrDuration},
 		{"2.000 kill-fronts for=1.000 targets=1,1", ErrTargets},
 		{"2.000 change-configuration targets=1", ErrTargets},
 		{"2.000 kill-core for=1.000 targets=1 core-kills=1 core-outage=0.5", ErrCoreKills},
