--- a/test/integration/serving/soak_touch_test.go
+++ b/test/integration/serving/soak_touch_test.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -34,23 +35,18 @@
 
 // calmFrom returns when all machines are in touch after the faults so far.
 func (r *touchRecord) calmFrom() (calm time.Time) {
-	for _, all := range append([][]fault{r.cores}, mapValues(r.fronts)...) {
-		for _, f := range all {
-			if from := f.end.Add(contactTime); from.After(calm) {
-				calm = from
-			}
+	all := slices.Clone(r.cores)
+	for _, faults := range r.fronts {
+		all = append(all, faults...)
+	}
+	for _, f := range all {
+		if from := f.end.Add(contactTime); from.After(calm) {
+			calm = from
 		}
 	}
 	return calm
 }
 
-func mapValues(faults map[int][]fault) (all [][]fault) {
-	for _, list := range faults {
-		all = append(all, list)
-	}
-	return all
-}
-
 // isDisturbed reports whether a fault lasted at some time within contactTime before a moment.
 func isDisturbed(faults []fault, moment time.Time) bool {
 	for _, f := range faults {
