--- a/test/integration/serving/soak_player_test.go
+++ b/test/integration/serving/soak_player_test.go
@@ -60,22 +60,22 @@
 
 // newSoakPlayer starts a system of the timeline's size, with the endpoints that will leave. The programs are those of a
 // folder, built by buildPartitionable.
-func newSoakPlayer(t *testing.T, drawn timeline.Timeline, programs string) *soakPlayer {
+func newSoakPlayer(t *testing.T, generated timeline.Timeline, programs string) *soakPlayer {
 	t.Helper()
 	p := &soakPlayer{
 		cluster: startClusterOf(t, clusterOptions{
 			programs:          func(string, int) string { return programs },
 			heartbeatInterval: chaosHeartbeatInterval,
-			coreCount:         drawn.Size.Cores,
-			coreLosses:        drawn.Size.CoreLosses,
+			coreCount:         generated.Size.Cores,
+			coreLosses:        generated.Size.CoreLosses,
 		}),
-		timeline:      drawn,
+		timeline:      generated,
 		touch:         newTouchRecord(),
 		acknowledged:  make(chan acknowledgement, maxAcknowledged),
 		operatorCalls: make(chan func(), maxAcknowledged),
 		newestRoute:   kindStock.name,
 	}
-	for i := range drawn.Size.Endpoints {
+	for i := range generated.Size.Endpoints {
 		leaving := p.startEndpoint(stockOptions(), firstChaosNumber+i, locations[i%len(locations)])
 		t.Cleanup(leaving.Close)
 		p.leaving = append(p.leaving, leaving)
--- a/test/integration/serving/soak_test.go
+++ b/test/integration/serving/soak_test.go
@@ -102,9 +102,9 @@
 }
 
 // playTimeline plays a timeline at a new system and checks the rules.
-func playTimeline(t *testing.T, drawn timeline.Timeline, options soakOptions) {
+func playTimeline(t *testing.T, generated timeline.Timeline, options soakOptions) {
 	t.Helper()
-	player := newSoakPlayer(t, drawn, options.programs)
+	player := newSoakPlayer(t, generated, options.programs)
 	defer player.saveIfFailed(options.saveTo)
 	load := player.startTraffic()
 	reader := player.startReader()
@@ -117,7 +117,7 @@
 	player.checkDepartures()
 	player.checkState()
 	player.ledger.check(t)
-	minServed := int64(drawn.Length.Seconds() * soakServedPerSecond)
+	minServed := int64(generated.Length.Seconds() * soakServedPerSecond)
 	assert.Greater(t, load.done.Load(), minServed, "requests are served beside the faults")
 	player.logFigures(load)
 }
--- a/test/soak/timeline/generate.go
+++ b/test/soak/timeline/generate.go
@@ -18,8 +18,8 @@
 	startTime = 2 * time.Second
 	// judgedTime is how long the calm lasts beyond Contact: all machines are in touch then.
 	judgedTime = 4 * time.Second
-	// maxDraws bounds the draws of an event that would break a limit.
-	maxDraws = 50
+	// maxTries bounds the tries at an event that would break a limit.
+	maxTries = 50
 	// minAway is the shortest time that a process is away.
 	minAway = 20 * time.Millisecond
 	// repeatShare is the share of the events that repeat the one before, so that events come in series.
@@ -28,7 +28,7 @@
 	coreKillShare = 0.5
 )
 
-// kinds lists all kinds, in the order in which they are drawn. Those that are acknowledged are there more than once.
+// kinds lists the kinds that events are chosen from. One that is listed several times is chosen so much more often.
 var kinds = []Kind{
 	KillCore, LoseCoreDisk, SuspendCore, TerminateCore, CutCores, CutCores,
 	KillAgent, SuspendAgent, TerminateAgent,
@@ -40,7 +40,7 @@
 	EndpointSignsOff, EndpointSignsOff, EndpointSignsOff,
 }
 
-// generator draws a timeline.
+// generator is a timeline that grows by random events.
 type generator struct {
 	*rand.Rand
 	timeline Timeline
@@ -51,7 +51,7 @@
 	g := &generator{Rand: rand.New(rand.NewPCG(seed, 0)), timeline: Timeline{Size: size}}
 	begin := startTime
 	for range episodes {
-		g.drawEpisode(begin)
+		g.generateEpisode(begin)
 		begin = g.calmFrom() + judgedTime
 	}
 	g.timeline.Length = begin
@@ -66,8 +66,8 @@
 	return calm
 }
 
-// drawEpisode adds events that begin within episodeLength.
-func (g *generator) drawEpisode(begin time.Duration) {
+// generateEpisode adds events that begin within episodeLength.
+func (g *generator) generateEpisode(begin time.Duration) {
 	times := make([]time.Duration, minEvents+g.IntN(maxEvents-minEvents+1))
 	for i := range times {
 		times[i] = begin + g.durationUpTo(episodeLength)
@@ -80,8 +80,8 @@
 
 // addEvent adds an event that breaks no limit, if one is found.
 func (g *generator) addEvent(at time.Duration) {
-	for range maxDraws {
-		event := g.drawEvent(at)
+	for range maxTries {
+		event := g.randomEvent(at)
 		if g.timeline.Size.checkEvent(event, g.timeline.Events) == nil {
 			g.timeline.Events = append(g.timeline.Events, event)
 			return
@@ -89,7 +89,7 @@
 	}
 }
 
-func (g *generator) drawEvent(at time.Duration) Event {
+func (g *generator) randomEvent(at time.Duration) Event {
 	if earlier := g.timeline.Events; len(earlier) > 0 && g.Float64() < repeatShare {
 		repeated := earlier[len(earlier)-1]
 		repeated.At = at
@@ -97,7 +97,7 @@
 	}
 	event := Event{Kind: kinds[g.IntN(len(kinds))], At: at}
 	limit := limits[event.Kind]
-	event.Targets = g.drawTargets(limit)
+	event.Targets = g.randomTargets(limit)
 	if limit.longest > 0 {
 		event.For = minAway + g.durationUpTo(limit.longest-minAway)
 	}
@@ -108,7 +108,7 @@
 	return event
 }
 
-func (g *generator) drawTargets(limit kindLimits) []int {
+func (g *generator) randomTargets(limit kindLimits) []int {
 	count := g.timeline.Size.count(limit.target)
 	if count == 0 {
 		return nil
@@ -122,7 +122,7 @@
 	return targets
 }
 
-// durationUpTo draws a duration in whole milliseconds, so that it can be written exactly.
+// durationUpTo returns a random duration in whole milliseconds, so that it can be written exactly.
 func (g *generator) durationUpTo(limit time.Duration) time.Duration {
 	return time.Duration(g.Int64N(limit.Milliseconds())+1) * time.Millisecond
 }
--- a/test/soak/timeline/limits.go
+++ b/test/soak/timeline/limits.go
@@ -38,7 +38,7 @@
 	MaxCoreKills = 3
 	// CoreKillPause is the time between the start of all core processes and their next kill.
 	CoreKillPause = 500 * time.Millisecond
-	// MaxAcknowledgement is the time by which an event is acknowledged, as far as the drawing of a timeline goes.
+	// MaxAcknowledgement is the time by which an event is acknowledged, as far as the generator goes.
 	MaxAcknowledgement = 2 * time.Second
 )
 
--- a/test/soak/timeline/reduce_test.go
+++ b/test/soak/timeline/reduce_test.go
@@ -12,9 +12,9 @@
 // it still breaks no limit.
 func TestReduce_KeepsWhatIsNeeded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		drawn := Generate(rapid.Uint64().Draw(t, "seed"), Small)
+		generated := Generate(rapid.Uint64().Draw(t, "seed"), Small)
 		needed := map[string]bool{}
-		for _, event := range drawn.Events {
+		for _, event := range generated.Events {
 			if rapid.Bool().Draw(t, "needed") {
 				needed[event.String()] = true
 			}
@@ -29,18 +29,18 @@
 			}
 			return found >= len(needed)
 		}
-		reduced := drawn.Reduce(breaks)
+		reduced := generated.Reduce(breaks)
 		assert.Len(t, reduced.Events, len(needed))
 		assert.True(t, breaks(reduced))
-		assert.Equal(t, drawn.Length, reduced.Length)
+		assert.Equal(t, generated.Length, reduced.Length)
 	})
 }
 
 // TestReduce_StopsWhereNothingCanBeLeftOut: the timeline given isn't changed.
 func TestReduce_StopsWhereNothingCanBeLeftOut(t *testing.T) {
-	drawn := Generate(1, Small)
+	generated := Generate(1, Small)
 	before := Generate(1, Small)
-	assert.Equal(t, before, drawn.Reduce(func(Timeline) bool { return false }))
-	assert.Empty(t, drawn.Reduce(func(Timeline) bool { return true }).Events)
-	assert.Equal(t, before, drawn)
+	assert.Equal(t, before, generated.Reduce(func(Timeline) bool { return false }))
+	assert.Empty(t, generated.Reduce(func(Timeline) bool { return true }).Events)
+	assert.Equal(t, before, generated)
 }
--- a/test/soak/timeline/timeline.go
+++ b/test/soak/timeline/timeline.go
@@ -1,4 +1,4 @@
-// Package timeline draws timelines of faults and planned work for a soak of the serving system. A timeline is a pure
+// Package timeline generates timelines of faults and planned work for a soak of the serving system. A timeline is a pure
 // function of a seed and the size of the system: a list of events that overlap and come in series, within what the system
 // must withstand. It can be written to a file, read back and played again. Package test/integration/serving plays them.
 package timeline
--- a/test/soak/timeline/timeline_test.go
+++ b/test/soak/timeline/timeline_test.go
@@ -11,40 +11,40 @@
 	"pgregory.net/rapid"
 )
 
-// drawnTimelines is the number of timelines that are checked.
-const drawnTimelines = 100_000
+// generatedTimelines is the number of timelines that are checked.
+const generatedTimelines = 100_000
 
 // TestGenerate_KeepsLimits counts by itself what the limits say, second by second, in place of calling Check alone.
 func TestGenerate_KeepsLimits(t *testing.T) {
 	seenKinds := map[Kind]int{}
 	overlaps := map[[2]Kind]int{}
-	for seed := range uint64(drawnTimelines) {
-		drawn := Generate(seed, []Size{Small, FiveCores}[seed%2])
-		if !assert.NoError(t, drawn.Check(), "seed %d", seed) || !assert.Equal(t, "", firstExcess(drawn), "seed %d", seed) {
+	for seed := range uint64(generatedTimelines) {
+		generated := Generate(seed, []Size{Small, FiveCores}[seed%2])
+		if !assert.NoError(t, generated.Check(), "seed %d", seed) || !assert.Equal(t, "", firstExcess(generated), "seed %d", seed) {
 			return
 		}
-		for _, event := range drawn.Events {
+		for _, event := range generated.Events {
 			seenKinds[event.Kind]++
-			require.LessOrEqual(t, event.End()+event.coreAbsence()+Contact+judgedTime, drawn.Length)
+			require.LessOrEqual(t, event.End()+event.coreAbsence()+Contact+judgedTime, generated.Length)
 		}
-		for pair, count := range drawn.Overlaps() {
+		for pair, count := range generated.Overlaps() {
 			overlaps[pair] += count
 		}
 	}
 	for _, kind := range kinds {
 		assert.Positive(t, seenKinds[kind], kind)
 	}
-	t.Logf("%d pairs of kinds overlap in %d timelines", len(overlaps), drawnTimelines)
+	t.Logf("%d pairs of kinds overlap in %d timelines", len(overlaps), generatedTimelines)
 	assert.Positive(t, overlaps[[2]Kind{CutCores, EndpointSignsOff}])
 	assert.Positive(t, overlaps[[2]Kind{EndpointSignsOff, SuspendCore}])
 	assert.Positive(t, overlaps[[2]Kind{EndpointSignsOff, KillFronts}])
 }
 
 // firstExcess returns what is too much at the begin of some event; empty: nothing.
-func firstExcess(drawn Timeline) string {
-	for _, at := range drawn.Events {
+func firstExcess(generated Timeline) string {
+	for _, at := range generated.Events {
 		lostCores, evacuated := map[int]bool{}, 0
-		for _, event := range drawn.Events {
+		for _, event := range generated.Events {
 			if event.At > at.At {
 				continue
 			}
@@ -59,7 +59,7 @@
 			}
 		}
 		switch {
-		case len(lostCores) > drawn.Size.CoreLosses:
+		case len(lostCores) > generated.Size.CoreLosses:
 			return "core losses at " + at.String()
 		case evacuated > 1:
 			return "evacuations at " + at.String()
@@ -76,13 +76,13 @@
 // TestRead_RestoresWhatWasWritten: also with comments and empty lines between.
 func TestRead_RestoresWhatWasWritten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		drawn := Generate(rapid.Uint64().Draw(t, "seed"), Small)
+		generated := Generate(rapid.Uint64().Draw(t, "seed"), Small)
 		var text strings.Builder
-		require.NoError(t, drawn.Write(&text))
-		commented := "# drawn\n\n" + strings.ReplaceAll(text.String(), "\n", " # as drawn\n\n")
+		require.NoError(t, generated.Write(&text))
+		commented := "# generated\n\n" + strings.ReplaceAll(text.String(), "\n", " # as generated\n\n")
 		restored, err := Read(strings.NewReader(commented), Small)
 		require.NoError(t, err)
-		assert.Equal(t, drawn, restored)
+		assert.Equal(t, generated, restored)
 	})
 }
 
