--- a/test/integration/serving/node_test.go
+++ b/test/integration/serving/node_test.go
@@ -55,6 +55,7 @@
 	settingsLines []string
 	firstRun      bool
 	process       *subprocess.Process
+	startOffset   int // of the log, when process was started
 }
 
 // address returns host:port on the node's machine.
@@ -74,6 +75,7 @@
 	if n.store != "" {
 		require.NoError(n.t, os.MkdirAll(n.store, 0o700))
 	}
+	n.startOffset = n.log.Offset()
 	n.log.Annotate("start")
 	folder, environment := programs, []string(nil)
 	if n.programs != "" {
@@ -101,6 +103,13 @@
 	require.True(n.t, n.process.AwaitExit(exitTimeout), "%s does not end", n.name)
 }
 
+// handlesSignals reports whether the process has got so far that SIGHUP doesn't end it, as it ends any program that the
+// kernel has just begun to execute.
+func (n *node) handlesSignals() bool {
+	_, found := n.log.Find(n.startOffset, `"event":110`)
+	return n.process.IsRunning() && found
+}
+
 // reload signals the process that its settings file has changed.
 func (n *node) reload() {
 	n.t.Helper()
--- a/test/integration/serving/soak_player_test.go
+++ b/test/integration/serving/soak_player_test.go
@@ -146,7 +146,7 @@
 	case timeline.CutCores:
 		p.cutUntil(event)
 	case timeline.Reload:
-		if n := p.cores[event.Targets[0]]; n.process.IsRunning() {
+		if n := p.cores[event.Targets[0]]; n.handlesSignals() {
 			n.reload()
 		}
 	case timeline.ChangeConfiguration:
