serving/endpoints: a successor that began with its predecessor's count is checked once it is unresponsive

Seen by callers: a new process under the ID of a departed endpoint, at its address, got no requests for some 26 s after its first ones. Cause: a late heartbeat of the predecessor asks for the check that the successor answers, and the predecessor's count is registered with it; the successor's own heartbeats, which count from 1, were taken for late ones until the endpoint counted as departed.

A heartbeat that is no newer is now also checked while the endpoint is unresponsive, that is when none that is newer has come for three intervals and 0.5 s. What the endpoint answers decides, as before: a crashed one answers nothing.

testdata/scenarios/registration: without the change there is no check and the endpoint stays unresponsive.

--- a/serving/endpoints/registration.go
+++ b/serving/endpoints/registration.go
@@ -11,10 +11,11 @@
 const maxRemovedEndpoints = 8192
 
 // mayBeSuccessor reports whether a heartbeat that is no newer than what is known may come from a new process that has
-// registered under the ID of an endpoint that has departed or is draining. It may as well be a late one of the former
-// process, however long ago that has departed: only the endpoint itself can tell.
+// registered under the ID of an endpoint that has departed, is draining, or sends no newer ones any more. It may as well be
+// a late one of the former process, however long ago that has departed: only the endpoint itself can tell.
 func mayBeSuccessor(former state.Endpoint, heartbeat Heartbeat) bool {
-	return former.State != state.EndpointAccepting && !heartbeat.Draining
+	isServing := former.State == state.EndpointAccepting && !former.Unresponsive
+	return !isServing && !heartbeat.Draining
 }
 
 // ResolveSuccessor ends the check that ReceiveHeartbeat has requested by Change.CheckSuccessor. Where the process at the
--- a/test/integration/mutants/endpoints_table_test.go
+++ b/test/integration/mutants/endpoints_table_test.go
@@ -51,6 +51,13 @@
 		replace: "if false {",
 		pkg:     "serving/endpoints", tests: "TestTable",
 	},
+	{
+		name:    "a successor that began with another process's count stays unresponsive",
+		file:    "serving/endpoints/registration.go",
+		old:     "former.State == state.EndpointAccepting && !former.Unresponsive",
+		replace: "former.State == state.EndpointAccepting",
+		pkg:     "serving/endpoints", tests: "TestTable",
+	},
 	{
 		name:    "a successor that departs while it is checked is registered",
 		file:    "serving/endpoints/heartbeat.go",
