serving: a closing that has no effect isn't acknowledged, and that of a successor has one

What callers could see: requests at an endpoint whose "closing" was acknowledged. A heartbeat that is no newer than what is known changed nothing and was acknowledged all the same.

A process that has said that it is closing never accepts again; so where a lower count says closing and the ID has had several processes, the closing is the successor's and applies, under a new registration. If it was a late one after all, the next heartbeat of the present process corrects it. Where no successor is known, the closing isn't acknowledged.

testdata/scenarios/registration and TestClosing_WithoutEffectIsNotAcknowledged fail without the change (the endpoint stays accepting; 200 in place of 503). Shown by these tests only, not by real processes.

--- a/serving/endpoints/heartbeat.go
+++ b/serving/endpoints/heartbeat.go
@@ -40,7 +40,11 @@
 		e = t.addEntry(id)
 	}
 	before := e.endpoint
-	if known && (heartbeat.Sequence <= before.Sequence || isOfEarlierRegistration(before, heartbeat)) {
+	switch {
+	case !known:
+	case closesSuccessor(before, heartbeat):
+		e.endpoint.Registration++
+	case heartbeat.Sequence <= before.Sequence, isOfEarlierRegistration(before, heartbeat):
 		return e.snapshotAt(now), e.receiveStaleHeartbeat(heartbeat)
 	}
 	change := t.acceptHeartbeat(now, e, before, heartbeat)
--- a/serving/endpoints/registration.go
+++ b/serving/endpoints/registration.go
@@ -18,6 +18,18 @@
 	return !isServing && !heartbeat.Draining
 }
 
+// closesSuccessor reports whether a heartbeat that is no newer than what is known says that an endpoint is closing which
+// counts as accepting. A process that has said that never accepts again, so that the known count is another process's under
+// the same ID and address, and the ID has had several. If the heartbeat is a late one of a former process instead, the
+// next one of the present process corrects that.
+func closesSuccessor(known state.Endpoint, heartbeat Heartbeat) bool {
+	return heartbeat.Draining &&
+		heartbeat.Sequence <= known.Sequence &&
+		known.State == state.EndpointAccepting &&
+		known.Address == heartbeat.Address &&
+		known.Registration > 0
+}
+
 // ResolveSuccessor ends the check that ReceiveHeartbeat has requested by Change.CheckSuccessor. Where the process at the
 // heartbeat's address has confirmed that it accepts requests under the endpoint's ID, it is registered, with the time
 // that it still warms up. It returns false if it wasn't confirmed, or if the endpoint has changed since the request:
--- a/serving/operator/endpoint.go
+++ b/serving/operator/endpoint.go
@@ -51,6 +51,11 @@
 	if change.CheckSuccessor {
 		e.replicator.CheckSuccessor(endpoint.ID, heartbeat)
 	}
+	if heartbeat.Draining && endpoint.State == state.EndpointAccepting {
+		// The endpoint would count on having left.
+		writeError(w, errcode.NotReplicated.With("endpoint %s: a newer heartbeat says that it accepts requests", endpoint.ID))
+		return
+	}
 	if err := e.replicate(r.Context(), endpoint, change); err != nil {
 		writeError(w, err)
 		return
--- a/serving/operator/endpoint_test.go
+++ b/serving/operator/endpoint_test.go
@@ -102,6 +102,16 @@
 	})
 }
 
+// TestClosing_WithoutEffectIsNotAcknowledged guards against the acknowledgement of a closing that is ignored, since another
+// process under the endpoint's ID has counted further.
+func TestClosing_WithoutEffectIsNotAcknowledged(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, 200, f.call("POST", heartbeatPath, heartbeatBody("accepting", 500)).Code)
+	assert.Equal(t, 503, f.call("POST", heartbeatPath, heartbeatBody("closing", 2)).Code)
+	assert.Empty(t, f.replicator.replicated)
+	assert.Equal(t, 200, f.call("POST", heartbeatPath, heartbeatBody("accepting", 3)).Code, "as before")
+}
+
 func TestClosing_FailsWhileVotersAreUnknown(t *testing.T) {
 	f := newFixture(t)
 	*f.voters = nil
--- a/test/integration/mutants/endpoints_table_test.go
+++ b/test/integration/mutants/endpoints_table_test.go
@@ -51,6 +51,20 @@
 		replace: "if false {",
 		pkg:     "serving/endpoints", tests: "TestTable",
 	},
+	{
+		name:    "a closing with a lower count than the former process's has no effect",
+		file:    "serving/endpoints/heartbeat.go",
+		old:     "case closesSuccessor(before, heartbeat):",
+		replace: "case false:",
+		pkg:     "serving/endpoints", tests: "TestTable",
+	},
+	{
+		name:    "a closing without effect is acknowledged",
+		file:    "serving/operator/endpoint.go",
+		old:     "if heartbeat.Draining && endpoint.State == state.EndpointAccepting {",
+		replace: "if false {",
+		pkg:     "serving/operator", tests: "TestClosing",
+	},
 	{
 		name:    "a successor that began with another process's count stays unresponsive",
 		file:    "serving/endpoints/registration.go",
