--- a/test/integration/serving/soak_calls_test.go
+++ b/test/integration/serving/soak_calls_test.go
@@ -37,12 +37,22 @@
 // evacuateUntil evacuates a zone until the end of the event.
 func (p *soakPlayer) evacuateUntil(event timeline.Event) {
 	zone := locations[event.Targets[0]].zone
-	nothing := func(time.Time) {}
-	p.callOperator(event, func(ctx context.Context, operator *client.Client) error { return operator.Evacuate(ctx, zone) }, nothing)
-	p.schedule(time.Now().Add(event.For), func() {
-		p.callOperator(event, func(ctx context.Context, operator *client.Client) error {
-			return operator.EndEvacuation(ctx, zone)
-		}, nothing)
+	p.callOperator(event, func(ctx context.Context, operator *client.Client) error {
+		return operator.Evacuate(ctx, zone)
+	}, func(at time.Time) {
+		p.evacuations = append(p.evacuations, soakEvacuation{zone: zone, begin: at})
+	})
+	p.schedule(time.Now().Add(event.For), func() { p.callEndOfEvacuation(event, zone) })
+}
+
+// callEndOfEvacuation ends the evacuation of a zone. Requests may go there as soon as the call is sent.
+func (p *soakPlayer) callEndOfEvacuation(event timeline.Event, zone string) {
+	var sent time.Time
+	p.callOperator(event, func(ctx context.Context, operator *client.Client) error {
+		sent = time.Now()
+		return operator.EndEvacuation(ctx, zone)
+	}, func(time.Time) {
+		p.evacuations[len(p.evacuations)-1].end = sent // there is one at a time
 	})
 }
 
--- a/test/integration/serving/soak_player_test.go
+++ b/test/integration/serving/soak_player_test.go
@@ -50,6 +50,8 @@
 	leaving    []*endpoint.Endpoint // by the index of the timeline
 	departures []soakDeparture
 	versions   []acknowledgedVersion
+
+	evacuations []soakEvacuation
 }
 
 // soakDeparture is an endpoint that has left. It serves on until the end of the run.
@@ -58,6 +60,12 @@
 	acknowledged time.Time
 }
 
+// soakEvacuation is an evacuation from its acknowledgement to the call that ended it; end is zero before that.
+type soakEvacuation struct {
+	zone       string
+	begin, end time.Time
+}
+
 // newSoakPlayer starts a system of the timeline's size, with the endpoints that will leave. The programs are those of a
 // folder, built by buildPartitionable.
 func newSoakPlayer(t *testing.T, generated timeline.Timeline, programs string) *soakPlayer {
--- a/test/integration/serving/soak_test.go
+++ b/test/integration/serving/soak_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"rowanlink/test/fake/endpoint"
 	"rowanlink/test/soak/timeline"
 )
 
@@ -115,6 +116,7 @@
 	assert.NotEmpty(t, reads)
 	assert.Empty(t, outdatedReads(reads, player.versions), "CONFIG: reads of older versions than were acknowledged before")
 	player.checkDepartures()
+	player.checkEvacuations()
 	player.checkState()
 	player.ledger.check(t)
 	minServed := int64(generated.Length.Seconds() * soakServedPerSecond)
@@ -172,14 +174,43 @@
 func (p *soakPlayer) checkDepartures() {
 	for _, departed := range p.departures {
 		for _, run := range p.ledger.runsAfter(departed.acknowledged.Add(drainTime), departed.endpoint.ID) {
-			proxy := p.ledger.proxyOf(run.Attempt)
-			front := slices.IndexFunc(p.proxies, func(n *node) bool { return n.address(portClients) == proxy })
+			front := p.frontOf(run.Attempt)
 			assert.False(p.t, p.touch.isInTouch(front, run.At), "DRAIN: %s was reached by front %d %v after its acknowledgement",
 				departed.endpoint.ID, front, run.At.Sub(departed.acknowledged))
 		}
 	}
 }
 
+// checkEvacuations checks EVAC: machines in touch send nothing to a zone that was evacuated evacuationTime before.
+func (p *soakPlayer) checkEvacuations() {
+	for _, evacuation := range p.evacuations {
+		for _, run := range p.ledger.runsAfter(evacuation.begin.Add(evacuationTime), p.endpointsIn(evacuation.zone)...) {
+			front := p.frontOf(run.Attempt)
+			isLate := run.At.Before(evacuation.end) && p.touch.isInTouch(front, run.At)
+			assert.False(p.t, isLate, "EVAC: %s was reached by front %d %v after its zone's evacuation was acknowledged",
+				run.Endpoint, front, run.At.Sub(evacuation.begin))
+		}
+	}
+}
+
+// endpointsIn returns the endpoints in a zone, also those that have left.
+func (p *soakPlayer) endpointsIn(zone string) (ids []string) {
+	for _, list := range [][]*endpoint.Endpoint{p.stocks, p.writers, p.leaving} {
+		for i, e := range list {
+			if locations[i%len(locations)].zone == zone {
+				ids = append(ids, e.ID)
+			}
+		}
+	}
+	return ids
+}
+
+// frontOf returns the index of the machine that a client sent an attempt to.
+func (p *soakPlayer) frontOf(attempt string) int {
+	proxy := p.ledger.proxyOf(attempt)
+	return slices.IndexFunc(p.proxies, func(n *node) bool { return n.address(portClients) == proxy })
+}
+
 // checkState checks that all processes know what was acknowledged last, that an operator reads it, and that each proxy
 // uses it.
 func (p *soakPlayer) checkState() {
--- a/test/soak/timeline/limits.go
+++ b/test/soak/timeline/limits.go
@@ -32,6 +32,8 @@
 	MaxAway = 3 * time.Second
 	// MaxCut is the longest time that machines are cut off.
 	MaxCut = 6 * time.Second
+	// MaxEvacuation is the longest evacuation: EVAC binds 5 s after its acknowledgement.
+	MaxEvacuation = 9 * time.Second
 	// MaxCoreOutage is the longest time that all core processes are away at once.
 	MaxCoreOutage = time.Second
 	// MaxCoreKills is the largest number of times in a row that all core processes are killed.
@@ -83,7 +85,7 @@
 	KillFronts:    {target: front, several: true, longest: MaxAway},
 	SuspendFronts: {target: front, several: true, longest: MaxAway},
 
-	Evacuate: {target: zone, longest: MaxAway},
+	Evacuate: {target: zone, longest: MaxEvacuation},
 
 	Reload:              {target: core},
 	ChangeConfiguration: {target: none, coreKills: true},
