test/integration/serving: the three longest tests run beside each other

TestMissedThousandChanges took 228 s and TestSuspendedCore 50 s, beside other work: with TestSoak (54 s) they were most of the package's time. None judges how long something takes.

--- a/test/integration/serving/control_test.go
+++ b/test/integration/serving/control_test.go
@@ -74,6 +74,7 @@
 // others continue without it. When it resumes, it returns nothing outdated, and executes no request that has timed out
 // at its operator.
 func TestSuspendedCore(t *testing.T) {
+	t.Parallel() // as TestMissedThousandChanges
 	c := startCluster(t)
 	suspended := c.cores[0]
 	for round := range 3 {
@@ -294,6 +295,7 @@
 // newest one. A change acknowledged first is acknowledged again, and after more changes than the history holds it is
 // said to be older. Memory and disk stay bounded.
 func TestMissedThousandChanges(t *testing.T) {
+	t.Parallel() // it takes minutes and judges no times
 	c := startCluster(t)
 	first := replaceRequest(c.version, c.version+1)
 	status, _ := c.cores[0].call(first)
--- a/test/integration/serving/soak_test.go
+++ b/test/integration/serving/soak_test.go
@@ -72,6 +72,7 @@
 
 // TestSoak plays timelines of faults that overlap and come in series.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	options := readSoakOptions(t)
 	switch {
 	case options.file != "":
--- a/test/soak/timeline/limits.go
+++ b/test/soak/timeline/limits.go
@@ -128,8 +128,10 @@
 	Err    error
 }
 
+// Error implements error.
 func (e *EventError) Error() string { return fmt.Sprintf("event %d: %v", e.Number, e.Err) }
 
+// Unwrap returns what is wrong, without the place.
 func (e *EventError) Unwrap() error { return e.Err }
 
 // Check returns an EventError for the first event that breaks a limit; nil if none does.
--- a/test/soak/timeline/text.go
+++ b/test/soak/timeline/text.go
@@ -41,8 +41,10 @@
 	Err  error
 }
 
+// Error implements error.
 func (e *LineError) Error() string { return fmt.Sprintf("line %d: %v", e.Line, e.Err) }
 
+// Unwrap returns what is wrong, without the place.
 func (e *LineError) Unwrap() error { return e.Err }
 
 // Write writes a timeline.
