test/soak/timeline: episodes with a long cut and a calm core

A third of the episodes now has core machines cut off for 6 to 8 s, nothing else at the core, and departures, changes and faults of other machines meanwhile.

--- a/test/soak/timeline/generate.go
+++ b/test/soak/timeline/generate.go
@@ -24,6 +24,11 @@
 	minAway = 20 * time.Millisecond
 	// repeatShare is the share of the events that repeat the one before, so that events come in series.
 	repeatShare = 0.25
+	// cutShare is the share of the episodes in which core machines are cut off for longer than Contact and nothing else
+	// happens to the core: the machines that reach its majority are in touch meanwhile.
+	cutShare = 0.33
+	// minLongCut is the shortest cut of such an episode.
+	minLongCut = 6 * time.Second
 	// coreKillShare is the share of the acknowledged events that are followed by kills of the core processes.
 	coreKillShare = 0.5
 )
@@ -40,6 +45,15 @@
 	EndpointSignsOff, EndpointSignsOff, EndpointSignsOff,
 }
 
+// kindsBesideCut lists the kinds that are chosen from while core machines are cut off.
+var kindsBesideCut = []Kind{
+	KillProxy, SuspendAgent, TerminateProxy,
+	Evacuate,
+	ChangeConfiguration,
+	EndpointCloses,
+	EndpointSignsOff, EndpointSignsOff,
+}
+
 // generator is a timeline that grows by random events.
 type generator struct {
 	*rand.Rand
@@ -51,7 +65,11 @@
 	g := &generator{Rand: rand.New(rand.NewPCG(seed, 0)), timeline: Timeline{Size: size}}
 	begin := startTime
 	for range episodes {
-		g.generateEpisode(begin)
+		if g.Float64() < cutShare {
+			g.generateCut(begin)
+		} else {
+			g.generateEpisode(begin, kinds, coreKillShare)
+		}
 		begin = g.calmFrom() + judgedTime
 	}
 	g.timeline.Length = begin
@@ -66,22 +84,33 @@
 	return calm
 }
 
-// generateEpisode adds events that begin within episodeLength.
-func (g *generator) generateEpisode(begin time.Duration) {
+// generateCut adds a long cut and events that leave the rest of the core alone.
+func (g *generator) generateCut(begin time.Duration) {
+	number := 1 + g.IntN(g.timeline.Size.CoreLosses)
+	cut := Event{Kind: CutCores, At: begin, Targets: g.Perm(g.timeline.Size.Cores)[:number]}
+	cut.For = minLongCut + g.durationUpTo(MaxCut-minLongCut)
+	slices.Sort(cut.Targets)
+	g.timeline.Events = append(g.timeline.Events, cut)
+	g.generateEpisode(begin, kindsBesideCut, 0)
+}
+
+// generateEpisode adds events of some kinds that begin within episodeLength. coreKills is the share of the acknowledged
+// ones that are followed by kills of the core processes.
+func (g *generator) generateEpisode(begin time.Duration, kinds []Kind, coreKills float64) {
 	times := make([]time.Duration, minEvents+g.IntN(maxEvents-minEvents+1))
 	for i := range times {
 		times[i] = begin + g.durationUpTo(episodeLength)
 	}
 	slices.Sort(times)
 	for _, at := range times {
-		g.addEvent(at)
+		g.addEvent(at, kinds, coreKills)
 	}
 }
 
 // addEvent adds an event that breaks no limit, if one is found.
-func (g *generator) addEvent(at time.Duration) {
+func (g *generator) addEvent(at time.Duration, kinds []Kind, coreKills float64) {
 	for range maxTries {
-		event := g.randomEvent(at)
+		event := g.randomEvent(at, kinds, coreKills)
 		if g.timeline.Size.checkEvent(event, g.timeline.Events) == nil {
 			g.timeline.Events = append(g.timeline.Events, event)
 			return
@@ -89,11 +118,15 @@
 	}
 }
 
-func (g *generator) randomEvent(at time.Duration) Event {
+func (g *generator) randomEvent(at time.Duration, kinds []Kind, coreKills float64) Event {
 	if earlier := g.timeline.Events; len(earlier) > 0 && g.Float64() < repeatShare {
-		repeated := earlier[len(earlier)-1]
-		repeated.At = at
-		return repeated
+		if repeated := earlier[len(earlier)-1]; slices.Contains(kinds, repeated.Kind) {
+			repeated.At = at
+			if coreKills == 0 {
+				repeated.CoreKills, repeated.CoreOutage = 0, 0
+			}
+			return repeated
+		}
 	}
 	event := Event{Kind: kinds[g.IntN(len(kinds))], At: at}
 	limit := limits[event.Kind]
@@ -101,7 +134,7 @@
 	if limit.longest > 0 {
 		event.For = minAway + g.durationUpTo(limit.longest-minAway)
 	}
-	if limit.coreKills && g.Float64() < coreKillShare {
+	if limit.coreKills && g.Float64() < coreKills {
 		event.CoreKills = 1 + g.IntN(MaxCoreKills)
 		event.CoreOutage = minAway + g.durationUpTo(MaxCoreOutage-minAway)
 	}
--- a/test/soak/timeline/limits.go
+++ b/test/soak/timeline/limits.go
@@ -31,7 +31,7 @@
 	// MaxAway is the longest time that a process is away.
 	MaxAway = 3 * time.Second
 	// MaxCut is the longest time that machines are cut off.
-	MaxCut = 6 * time.Second
+	MaxCut = 8 * time.Second
 	// MaxEvacuation is the longest evacuation: EVAC binds 5 s after its acknowledgement.
 	MaxEvacuation = 9 * time.Second
 	// MaxCoreOutage is the longest time that all core processes are away at once.
--- a/test/soak/timeline/timeline_test.go
+++ b/test/soak/timeline/timeline_test.go
@@ -102,7 +102,7 @@
 		{"2.000 kill-core for=1.000 targets=3", ErrTargets},
 		{"2.000 kill-core for=1.000 targets=1,2", ErrTargets},
 		{"2.000 cut-cores for=1.000 targets=1,2", ErrLosses},
-		{"2.000 cut-cores for=6.001 targets=1", ErrDuration},
+		{"2.000 cut-cores for=8.001 targets=1", ErrDuration},
 		{"2.000 kill-fronts for=1.000 targets=1,1", ErrTargets},
 		{"2.000 change-configuration targets=1", ErrTargets},
 		{"2.000 kill-core for=1.000 targets=1 core-kills=1 core-outage=0.5", ErrCoreKills},
