--- a/serving/event/operator.go
+++ b/serving/event/operator.go
@@ -18,5 +18,6 @@
 	EndpointReplicated        = define(428, zerolog.InfoLevel, "an endpoint's closing is on a majority of disks and applied by the proxies")
 	EndpointSucceeded         = define(429, zerolog.InfoLevel, "a new process under the ID of a departed endpoint is registered")
 	EndpointNotSucceeded      = define(430, zerolog.DebugLevel, "a heartbeat of a departed endpoint is ignored: no new process has confirmed that it serves")
+	CallUnknown               = define(431, zerolog.WarnLevel, "a call names a resource that this member doesn't serve; it is answered 404")
 	EndpointUnreadable        = define(426, zerolog.ErrorLevel, "an endpoint's gossiped entry can't be decoded or encoded")
 )
--- a/serving/operator/operator.go
+++ b/serving/operator/operator.go
@@ -12,6 +12,7 @@
 
 	"rowanlink/serving/endpoints"
 	"rowanlink/serving/errcode"
+	"rowanlink/serving/event"
 	"rowanlink/serving/quorum"
 	"rowanlink/serving/state"
 )
@@ -98,6 +99,7 @@
 	mux.HandleFunc("POST /Endpoints.Beat/{id}", endpoint.Heartbeat)
 	mux.HandleFunc("POST /Endpoints.SignOff/{id}", endpoint.Deregister)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		event.CallUnknown.Log(options.Log).Str("method", r.Method).Str("path", r.URL.Path).Send()
 		writeError(w, errcode.ResourceUnknown.With("%s %s", r.Method, r.URL.Path))
 	})
 	return mux
