--- /dev/null
+++ b/serving/rollout/wire.go
@@ -0,0 +1,25 @@
+package rollout
+
+import (
+	"rowanlink/serving/rpc"
+	"rowanlink/serving/state"
+)
+
+// JudgeRole is the singleton role of the core member that decides on the roll-outs in transit.
+const JudgeRole = "judge-rollouts"
+
+// ReportMethod is the call by which agents pass their proxies' observations of roll-outs to the core member that decides
+// on them. Its response renews the leases without which proxies send a target nothing.
+var ReportMethod = rpc.Method[ReportRequest, ReportResponse]{Procedure: "/rowanlink.rollout.v1/Report"}
+
+// ReportRequest has the newest report on each roll-out in transit that the agent knows of.
+type ReportRequest struct {
+	Observer string                `cbor:"1,keyasint"` // the member on the proxy's machine
+	Reports  []state.RolloutReport `cbor:"2,keyasint"`
+}
+
+// ReportResponse has the leases of the roll-outs that are in transit as far as the member knows. One that doesn't decide
+// on them, or has no contact with a majority of the voters, grants none.
+type ReportResponse struct {
+	Leases []state.RolloutLease `cbor:"1,keyasint,omitempty"`
+}
--- a/serving/settings/process.go
+++ b/serving/settings/process.go
@@ -61,22 +61,26 @@
 
 // Bounds are the service levels that operators require; docs/settings.md explains each.
 type Bounds struct {
-	SeedLag          time.Duration `json:"SeedLag"`
-	AddressReuse     time.Duration `json:"AddressReuse"`
-	QuorumContact    time.Duration `json:"Contact"`
-	Acknowledgement  time.Duration `json:"Acknowledge"`
-	CatchUp          time.Duration `json:"CatchUp"`
-	Drain            time.Duration `json:"Drain"`
-	Grace            time.Duration `json:"Grace"`
-	LossSlack        time.Duration `json:"LossSlack"`
-	Activation       time.Duration `json:"Apply"`
-	RevertSlack      time.Duration `json:"RevertSlack"`
-	Stretch          time.Duration `json:"Stretch"`
-	RetryRatio       float64       `json:"RetryRatio"`
-	RetryWindow      time.Duration `json:"RetryWindow"`
-	RetrySlack       float64       `json:"RetrySlack"`
-	WarmUpExcess     float64       `json:"ColdExcess"`
-	WarmUpSlack      float64       `json:"ColdSlack"`
+	SeedLag         time.Duration `json:"SeedLag"`
+	AddressReuse    time.Duration `json:"AddressReuse"`
+	QuorumContact   time.Duration `json:"Contact"`
+	Acknowledgement time.Duration `json:"Acknowledge"`
+	CatchUp         time.Duration `json:"CatchUp"`
+	Drain           time.Duration `json:"Drain"`
+	Grace           time.Duration `json:"Grace"`
+	LossSlack       time.Duration `json:"LossSlack"`
+	Activation      time.Duration `json:"Apply"`
+	RevertSlack     time.Duration `json:"RevertSlack"`
+	Stretch         time.Duration `json:"Stretch"`
+	RetryRatio      float64       `json:"RetryRatio"`
+	RetryWindow     time.Duration `json:"RetryWindow"`
+	RetrySlack      float64       `json:"RetrySlack"`
+	WarmUpExcess    float64       `json:"ColdExcess"`
+	WarmUpSlack     float64       `json:"ColdSlack"`
+	// ExposureShare of a service's requests, and ExposureSlack more, may go to a bad version during its roll-out.
+	ExposureShare    float64       `json:"ExposureShare"`
+	ExposureSlack    float64       `json:"ExposureSlack"`
+	Rollback         time.Duration `json:"Rollback"`
 	Evacuation       time.Duration `json:"Evacuate"`
 	Recovery         time.Duration `json:"Recovery"`
 	StreamForwarding time.Duration `json:"Pass"`
--- a/serving/state/record.go
+++ b/serving/state/record.go
@@ -13,6 +13,8 @@
 	OlderHistory PackedHistory `cbor:"7,keyasint,omitempty"`
 	// ForgottenVersion is the highest version that was removed from OlderHistory too; zero: none.
 	ForgottenVersion uint64 `cbor:"8,keyasint,omitempty"`
+	// Rollouts has the newest roll-out of each service that ever had one.
+	Rollouts []Rollout `cbor:"9,keyasint,omitempty"`
 }
 
 // Evacuation is an operator's order to send no more requests to the endpoints of a zone, or the end of that order.
--- /dev/null
+++ b/serving/state/rollout.go
@@ -0,0 +1,161 @@
+package state
+
+import "slices"
+
+// RolloutState is where a roll-out stands.
+type RolloutState uint8
+
+// The states of a roll-out. The last two are final.
+const (
+	RolloutInTransit RolloutState = iota + 1 // the target gets a share of the requests
+	RolloutDelivered                         // the target gets all requests
+	RolloutReturned                          // the target gets nothing any more
+)
+
+// RolloutStep is the step of a roll-out in transit: how much of the service's traffic its target may get.
+type RolloutStep uint8
+
+// The steps, in their order.
+const (
+	RolloutCanary RolloutStep = iota // a few endpoints of the target get a small share
+	RolloutLoad                      // and two more get as many requests at once as they have to bear when they are busy
+	RolloutRamp                      // part of the target's endpoints gets its part of the traffic
+	RolloutFull                      // all new requests go to the target
+)
+
+// RolloutReason says why a roll-out was returned.
+type RolloutReason uint8
+
+// The reasons.
+const (
+	RolloutNotReturned  RolloutReason = iota
+	RolloutFailures                   // answers of the target fail more often than those of the versions in force
+	RolloutSlow                       // answers of the target are late more often than those of the versions in force
+	RolloutNoEndpoints                // too few endpoints of the target came up in time
+	RolloutSuperseded                 // an operator has ordered another version meanwhile
+	RolloutUnobservable               // the proxies didn't report enough of it in time
+)
+
+// Rollout is the newest order to move a service's traffic to another software version, its target.
+type Rollout struct {
+	Service string       `cbor:"1,keyasint"`
+	Target  string       `cbor:"2,keyasint"`
+	State   RolloutState `cbor:"3,keyasint"`
+	Step    RolloutStep  `cbor:"4,keyasint,omitempty"`
+	// DurationMillis is the time from the order in which the roll-out is to end.
+	DurationMillis int64 `cbor:"5,keyasint"`
+	// OrderRevision is the revision of the record in which the roll-out was ordered. It identifies the roll-out.
+	OrderRevision uint64 `cbor:"6,keyasint"`
+	// Revision is the revision of the record in which the roll-out was last changed.
+	Revision uint64 `cbor:"7,keyasint"`
+	// ElapsedMillis is the time from the order to that change, at least.
+	ElapsedMillis int64          `cbor:"8,keyasint,omitempty"`
+	Verdict       RolloutVerdict `cbor:"9,keyasint"`
+	// Retired are the software versions that this and earlier roll-outs have replaced or returned, the newest last, at
+	// most MaxRetired. They get nothing.
+	Retired []string `cbor:"10,keyasint,omitempty"`
+}
+
+// RolloutVerdict is why a roll-out ended, and the counts of answers that it rests on.
+type RolloutVerdict struct {
+	Reason   RolloutReason `cbor:"1,keyasint,omitempty"`
+	Route    string        `cbor:"2,keyasint,omitempty"` // name of the route that showed it; empty: all routes together
+	Target   AnswerCounts  `cbor:"3,keyasint"`           // of that route
+	Baseline AnswerCounts  `cbor:"4,keyasint"`           // of that route, by the versions in force in the same time
+}
+
+// MaxRetired is the number of retired software versions of a service that are remembered.
+const MaxRetired = 16
+
+// IsRetired reports whether a software version was replaced or returned.
+func (r *Rollout) IsRetired(version string) bool { return slices.Contains(r.Retired, version) }
+
+// Retire adds a software version to the retired ones. It doesn't modify the slice that the roll-out had.
+func (r *Rollout) Retire(version string) {
+	retired := slices.DeleteFunc(slices.Clone(r.Retired), func(known string) bool { return known == version })
+	retired = append(retired, version)
+	r.Retired = retired[max(len(retired)-MaxRetired, 0):]
+}
+
+// Rollout returns the newest roll-out of a service.
+func (r *Record) Rollout(service string) (Rollout, bool) {
+	for _, rollout := range r.Rollouts {
+		if rollout.Service == service {
+			return rollout, true
+		}
+	}
+	return Rollout{}, false
+}
+
+// SetRollout replaces the roll-out of the same service. It doesn't modify the slice that the record had.
+func (r *Record) SetRollout(rollout Rollout) {
+	rollouts := slices.Clone(r.Rollouts)
+	position := slices.IndexFunc(rollouts, func(known Rollout) bool { return known.Service == rollout.Service })
+	if position < 0 {
+		r.Rollouts = append(rollouts, rollout)
+		return
+	}
+	rollouts[position] = rollout
+	r.Rollouts = rollouts
+}
+
+// AnswerCounts counts answers of endpoints.
+type AnswerCounts struct {
+	Answers int `cbor:"1,keyasint,omitempty"` // that have begun, or failed before
+	Failed  int `cbor:"2,keyasint,omitempty"` // of these, the endpoint's own errors and those that broke off
+	Timed   int `cbor:"3,keyasint,omitempty"` // of these, those whose time is compared with the expected one
+	Slow    int `cbor:"4,keyasint,omitempty"` // of the timed ones, those that took several times as long
+}
+
+// Add returns the sums of both counts.
+func (c AnswerCounts) Add(other AnswerCounts) AnswerCounts {
+	return AnswerCounts{
+		Answers: c.Answers + other.Answers,
+		Failed:  c.Failed + other.Failed,
+		Timed:   c.Timed + other.Timed,
+		Slow:    c.Slow + other.Slow,
+	}
+}
+
+// Sub returns the differences of both counts.
+func (c AnswerCounts) Sub(other AnswerCounts) AnswerCounts {
+	return AnswerCounts{
+		Answers: c.Answers - other.Answers,
+		Failed:  c.Failed - other.Failed,
+		Timed:   c.Timed - other.Timed,
+		Slow:    c.Slow - other.Slow,
+	}
+}
+
+// RolloutReport is what one proxy has observed of a roll-out. All counts are sums since the proxy first knew of it, so
+// that a report replaces the proxy's earlier ones.
+type RolloutReport struct {
+	OrderRevision uint64        `cbor:"1,keyasint"`           // identifies the roll-out
+	Incarnation   uint64        `cbor:"2,keyasint"`           // of the proxy's process, whose counts begin at zero
+	Sequence      uint64        `cbor:"3,keyasint"`           // increases with each report of an incarnation
+	Routes        []RouteCounts `cbor:"4,keyasint,omitempty"` // at most MaxReportedRoutes
+	// BadEndpoints are endpoints of the target whose answers failed or were slow, by ID, at most MaxReportedEndpoints.
+	BadEndpoints []string `cbor:"5,keyasint,omitempty"`
+	// BaselineInFlight is the number of this proxy's calls at endpoints of the versions in force.
+	BaselineInFlight int `cbor:"6,keyasint,omitempty"`
+}
+
+// RouteCounts are the counts of one route.
+type RouteCounts struct {
+	Route    string       `cbor:"1,keyasint,omitempty"` // empty: all routes that have no entry of their own
+	Target   AnswerCounts `cbor:"2,keyasint"`
+	Baseline AnswerCounts `cbor:"3,keyasint"`
+}
+
+// Bounds of a report.
+const (
+	MaxReportedRoutes    = 48
+	MaxReportedEndpoints = 8
+)
+
+// RolloutLease permits a proxy to send requests to the target of a roll-out in transit for some time. Without one it
+// sends none.
+type RolloutLease struct {
+	OrderRevision uint64 `cbor:"1,keyasint"` // identifies the roll-out
+	Millis        int64  `cbor:"2,keyasint"` // from the receipt
+}
