--- a/serving/httpserver/forward.go
+++ b/serving/httpserver/forward.go
@@ -83,8 +83,12 @@
 			return placement.Choice{}, false
 		}
 		choice, decision := f.server.options.Picker.Pick(now, f.placement)
+		f.placement.Waited = true
 		switch decision.Kind {
 		case placement.Picked:
+			if !f.stream.started {
+				f.placement.Version = choice.Endpoint.SoftwareVersion
+			}
 			return choice, true
 		case placement.Wait:
 			delay := max(min(decision.Delay, f.placement.TimeLeft), minPickDelay)
--- a/serving/placement/candidates.go
+++ b/serving/placement/candidates.go
@@ -24,6 +24,9 @@
 	ownRegionAllowed bool // the request may be served in this proxy's region
 	modelServed      bool // some endpoint announces the request's model
 	hasUntried       bool // some endpoint has not been tried for the request
+	// pinnedVersion is the only software version that may resume the request's stream; empty: any.
+	pinnedVersion string
+	loadProbe     *endpoint // the one endpoint that may be chosen, to load it; nil: any other
 
 	prefixRegion *region // the one region whose owner caches the shared blocks; nil: each region has an owner
 	cacheLocally bool    // enough latency was paid for a remote owner: the own region's owner caches the blocks too
--- a/serving/placement/eligibility.go
+++ b/serving/placement/eligibility.go
@@ -32,7 +32,7 @@
 
 // isUsable reports whether the request may go to the endpoint at all, now or later.
 func (s *candidateSearch) isUsable(e *endpoint) bool {
-	if e.excluded || !s.allowsRegion(e.region) {
+	if e.excluded || !s.allowsRegion(e.region) || !s.allowsVersion(e) || e.isLoadProbe != (e == s.loadProbe) {
 		return false
 	}
 	if s.modelServed && !e.servesModel(s.request.Model) {
@@ -49,7 +49,13 @@
 
 // isUntried reports whether the endpoint could serve the request and has not been tried for it.
 func (s *candidateSearch) isUntried(e *endpoint) bool {
-	return !e.excluded && s.allowsRegion(e.region) && !slices.Contains(s.request.TriedEndpoints, e.info.ID)
+	return !e.excluded && s.allowsRegion(e.region) && s.allowsVersion(e) &&
+		!slices.Contains(s.request.TriedEndpoints, e.info.ID)
+}
+
+// allowsVersion reports whether the request may go to an endpoint's software version.
+func (s *candidateSearch) allowsVersion(e *endpoint) bool {
+	return s.pinnedVersion == "" || e.info.SoftwareVersion == s.pinnedVersion
 }
 
 // servesModel reports whether the endpoint has announced the request's model.
--- a/serving/placement/observations.go
+++ b/serving/placement/observations.go
@@ -34,6 +34,9 @@
 	for _, e := range p.observedEndpoints {
 		urgent = urgent || e.observation.Unacknowledged
 	}
+	if p.rollouts.hasNewBadAnswers() {
+		return true, true
+	}
 	return len(p.observedEndpoints) > 0, urgent
 }
 
--- a/serving/placement/pick.go
+++ b/serving/placement/pick.go
@@ -15,17 +15,16 @@
 func (p *Picker) Pick(now time.Time, request Request) (Choice, Decision) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	s := candidateSearch{
-		now:       now,
-		ownRegion: p.options.Region,
-		request:   &request,
-		priority:  priorityOf(request.Route.Precedence),
-		retryIn:   noEndpointRetryAfter,
-	}
-	s.service = p.pickService(&request)
-	if s.service == nil || request.TimeLeft <= 0 {
+	service := p.pickService(&request)
+	if service == nil || request.TimeLeft <= 0 {
 		return Choice{}, p.reject(noEndpointRetryAfter)
 	}
+	if draw, drawn := p.drawTarget(now, service, &request); drawn {
+		if choice, picked := p.pickOfTarget(now, draw, &request); picked {
+			return choice, Decision{Kind: Picked}
+		}
+	}
+	s := p.newSearch(now, service, &request)
 	if s.mustYield() {
 		return Choice{}, Decision{Kind: Wait, Delay: p.jitter(slotPollInterval)}
 	}
@@ -40,6 +39,19 @@
 	return p.reserve(&s), Decision{Kind: Picked}
 }
 
+// newSearch returns the search for a request's endpoint among those of a service.
+func (p *Picker) newSearch(now time.Time, service *service, request *Request) candidateSearch {
+	return candidateSearch{
+		now:           now,
+		ownRegion:     p.options.Region,
+		request:       request,
+		service:       service,
+		priority:      priorityOf(request.Route.Precedence),
+		retryIn:       noEndpointRetryAfter,
+		pinnedVersion: p.pinnedVersion(request, service.name),
+	}
+}
+
 // pickService returns the service of a request: the one of its earlier attempts or, for a split route, one drawn by
 // weight. It returns nil if the route has no weight.
 func (p *Picker) pickService(request *Request) *service {
@@ -97,6 +109,8 @@
 	}
 	c := &call{
 		endpoint:          e,
+		route:             s.request.Route.Name,
+		isLoadProbe:       s.loadProbe != nil,
 		sentAt:            s.now,
 		priority:          priority,
 		pathLatency:       best.pathLatency,
--- a/serving/placement/picker.go
+++ b/serving/placement/picker.go
@@ -39,6 +39,7 @@
 	chain             blockChain                // of the request in Pick
 	proxiesInRegion   int                       // including this one
 	observedEndpoints []*endpoint               // those with a pending observation
+	rollouts          rollouts
 }
 
 // New returns a picker that knows of no endpoints.
@@ -54,6 +55,7 @@
 		evacuated:         map[string]bool{},
 		evacuationEndedAt: map[string]time.Time{},
 		proxiesInRegion:   1,
+		rollouts:          newRollouts(options.Seed),
 	}
 }
 
--- a/serving/placement/report.go
+++ b/serving/placement/report.go
@@ -18,6 +18,7 @@
 		return
 	}
 	if !c.gotFirstByte {
+		p.rollouts.recordFirstByte(now, p, c)
 		recordFirstByte(now, c)
 		c.gotFirstByte = true
 		c.endpoint.leaveQueue(c)
@@ -44,6 +45,7 @@
 	if c.endpoint.health.probe == c {
 		c.endpoint.health.probe = nil
 	}
+	p.rollouts.recordOutcome(now, c, outcome)
 	p.applyOutcome(now, c, outcome)
 }
 
--- a/serving/placement/request.go
+++ b/serving/placement/request.go
@@ -28,6 +28,11 @@
 	QueuedFor      time.Duration
 	TriedEndpoints []string // IDs of the endpoints that earlier attempts went to
 	Resumed        bool     // the request continues a stream whose first part the client has received
+	// Version is the software version of the endpoint that has sent the first part. A stream of a service that had a
+	// roll-out is resumed on the same version only.
+	Version string
+	// Waited: an earlier call of Pick for this request has decided to wait.
+	Waited bool
 }
 
 // DecisionKind is how a request proceeds after Pick.
@@ -64,6 +69,8 @@
 // call is one request at one endpoint, from Pick to its end.
 type call struct {
 	endpoint     *endpoint
+	route        string // name
+	isLoadProbe  bool   // it was sent to load the endpoint
 	sentAt       time.Time
 	priority     int  // 0 is the highest
 	gotFirstByte bool // the response has begun
--- /dev/null
+++ b/serving/placement/rollout_observations.go
@@ -0,0 +1,205 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"rowanlink/serving/attempt"
+	"rowanlink/serving/state"
+)
+
+const (
+	// An answer is slow if its first byte takes slowFactor times the time that the versions in force would need, and
+	// slowSlack more.
+	slowFactor = 3
+	slowSlack  = 150 * time.Millisecond
+)
+
+// rolloutObservations are this proxy's counts of a service's answers since it knows of a roll-out.
+type rolloutObservations struct {
+	sequence     uint64
+	routes       map[string]*state.RouteCounts // by name; "" for those beyond the limit
+	badEndpoints []string
+	hasNewBad    bool // bad answers of the target that weren't reported yet
+	closings     []BrakeClosing
+}
+
+func newRolloutObservations() rolloutObservations {
+	return rolloutObservations{routes: map[string]*state.RouteCounts{}}
+}
+
+// countsOf returns the counts of a call's route and side.
+func (o *rolloutObservations) countsOf(c *call, isTarget bool) *state.AnswerCounts {
+	route := c.route
+	counts := o.routes[route]
+	if counts == nil && len(o.routes) >= state.MaxReportedRoutes {
+		route = ""
+		counts = o.routes[route]
+	}
+	if counts == nil {
+		counts = &state.RouteCounts{Route: route}
+		o.routes[route] = counts
+	}
+	if isTarget {
+		return &counts.Target
+	}
+	return &counts.Baseline
+}
+
+// addBad notes that an endpoint of the target gave a bad answer.
+func (o *rolloutObservations) addBad(id string) {
+	o.hasNewBad = true
+	if len(o.badEndpoints) < state.MaxReportedEndpoints && !slices.Contains(o.badEndpoints, id) {
+		o.badEndpoints = append(o.badEndpoints, id)
+	}
+}
+
+// of returns the roll-out in transit that a call's answer is counted for, nil if there is none, and whether the answer
+// is one of the target. Before the target has endpoints there is nothing to compare.
+func (r *rollouts) of(c *call) (found *rolloutInTransit, isTarget bool) {
+	found = r.inTransit[c.endpoint.service.name]
+	if found == nil || len(found.target.endpoints) == 0 {
+		return nil, false
+	}
+	return found, c.endpoint.service == found.target
+}
+
+// recordFirstByte counts an answer that has begun.
+func (r *rollouts) recordFirstByte(now time.Time, p *Picker, c *call) {
+	found, isTarget := r.of(c)
+	if found == nil {
+		return
+	}
+	counts := found.observed.countsOf(c, isTarget)
+	counts.Answers++
+	if c.isLoadProbe || p.isWarmingUp(now, c.endpoint) {
+		return // the endpoint is slow by itself
+	}
+	counts.Timed++
+	expected := p.ensureService(c.endpoint.service.name).expectedFirstByte(c)
+	if now.Sub(c.sentAt) > slowFactor*expected+slowSlack {
+		found.recordSlow(c, counts, isTarget)
+	}
+}
+
+// recordSlow counts a slow answer.
+func (r *rolloutInTransit) recordSlow(c *call, counts *state.AnswerCounts, isTarget bool) {
+	counts.Slow++
+	if isTarget {
+		r.observed.addBad(c.endpoint.info.ID)
+	}
+}
+
+// recordOutcome counts how an answer has ended.
+func (r *rollouts) recordOutcome(now time.Time, c *call, outcome attempt.Outcome) {
+	found, isTarget := r.of(c)
+	if found == nil {
+		return
+	}
+	switch outcome {
+	case attempt.Succeeded:
+		if isTarget && !c.isLoadProbe {
+			found.brake.recordSuccess()
+		}
+	case attempt.Failed, attempt.Broken:
+		counts := found.observed.countsOf(c, isTarget)
+		if !c.gotFirstByte {
+			counts.Answers++
+		}
+		counts.Failed++
+		if isTarget {
+			found.recordTargetFailure(now, c)
+		}
+	case attempt.TimedOut:
+		counts := found.observed.countsOf(c, isTarget)
+		if !c.gotFirstByte && !c.isLoadProbe {
+			counts.Answers++
+			counts.Timed++
+			found.recordSlow(c, counts, isTarget)
+		}
+	}
+}
+
+// recordTargetFailure notes a failed answer of the target.
+func (r *rolloutInTransit) recordTargetFailure(now time.Time, c *call) {
+	r.observed.addBad(c.endpoint.info.ID)
+	if c.isLoadProbe {
+		return // the endpoint's failure rate keeps this proxy from loading it further
+	}
+	threshold := 1
+	if r.info.Step == state.RolloutFull {
+		threshold = fullStepFailures
+	}
+	if r.brake.recordFailure(now, threshold) {
+		r.observed.closings = append(r.observed.closings, BrakeClosing{
+			Service: r.info.Service,
+			Target:  r.info.Target,
+			Step:    r.info.Step,
+			Hold:    r.brake.closedUntil.Sub(now),
+		})
+	}
+}
+
+// BrakeClosing is an instance of this proxy's brake that closed.
+type BrakeClosing struct {
+	Service string
+	Target  string
+	Step    state.RolloutStep
+	Hold    time.Duration
+}
+
+// TakeBrakeClosings returns the closings of brakes since the last call.
+func (p *Picker) TakeBrakeClosings() (closings []BrakeClosing) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, r := range p.rollouts.inTransit {
+		closings = append(closings, r.observed.closings...)
+		r.observed.closings = nil
+	}
+	return closings
+}
+
+// expectedFirstByte returns the time to the first byte of a call's answer by what is known of the service, without
+// other requests in the endpoint's queue but those of this proxy.
+func (s *service) expectedFirstByte(c *call) time.Duration {
+	if s.hasEngine() {
+		return c.pathLatency + s.baseLatency + s.prefillTime(c.uncachedTokens+c.tokensAhead)
+	}
+	return c.pathLatency + time.Duration(s.callMillis*float64(time.Millisecond))
+}
+
+// hasNewBadAnswers reports whether answers of a target were bad that no report has counted yet.
+func (r *rollouts) hasNewBadAnswers() bool {
+	for _, found := range r.inTransit {
+		if found.observed.hasNewBad {
+			return true
+		}
+	}
+	return false
+}
+
+// RolloutReports returns what this proxy has observed of the roll-outs in transit.
+func (p *Picker) RolloutReports() (reports []state.RolloutReport) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for name, r := range p.rollouts.inTransit {
+		r.observed.sequence++
+		r.observed.hasNewBad = false
+		report := state.RolloutReport{
+			OrderRevision: r.info.OrderRevision,
+			Incarnation:   p.rollouts.incarnation,
+			Sequence:      r.observed.sequence,
+			BadEndpoints:  slices.Clone(r.observed.badEndpoints),
+		}
+		for _, counts := range r.observed.routes {
+			report.Routes = append(report.Routes, *counts)
+		}
+		if inForce := p.services[name]; inForce != nil {
+			for _, e := range inForce.endpoints {
+				report.BaselineInFlight += e.inFlight
+			}
+		}
+		reports = append(reports, report)
+	}
+	return reports
+}
--- a/serving/placement/service.go
+++ b/serving/placement/service.go
@@ -9,7 +9,7 @@
 
 // service is what a picker knows of one service.
 type service struct {
-	name      string
+	name      string           // the target of a roll-out in transit has a service of its own, with the same name
 	config    *routing.Service // nil: the configuration doesn't name it
 	endpoints []*endpoint      // those of the last snapshot
 	regions   []*region        // the endpoints by region, in the order in which regions were first seen
--- a/serving/placement/snapshot.go
+++ b/serving/placement/snapshot.go
@@ -16,6 +16,8 @@
 	Loads     []state.Load
 	Record    *state.Record // nil: unknown
 	Proxies   subscription.ProxyCounts
+	// RolloutLeases are those that have come since the last snapshot.
+	RolloutLeases []state.RolloutLease
 }
 
 // Update replaces what is known of the cluster.
@@ -31,6 +33,7 @@
 		known.updateConnectionLimit(p.proxyCount)
 	}
 	p.applyEvacuations(now, snapshot.Record)
+	p.applyRollouts(now, snapshot.Record, snapshot.RolloutLeases)
 	p.replaceEndpoints(now, snapshot.Endpoints)
 	for _, load := range snapshot.Loads {
 		p.updateLoad(now, load)
@@ -44,8 +47,8 @@
 	}
 	p.routing = table
 	clear(p.splits)
-	for name, known := range p.services {
-		known.config = serviceConfig(table, name)
+	for _, known := range p.services {
+		known.config = serviceConfig(table, known.name)
 	}
 }
 
@@ -82,6 +85,7 @@
 	for _, s := range p.services {
 		s.endpoints = s.endpoints[:0]
 	}
+	p.noteVersions(now, all)
 	for index := range all {
 		e := p.updateEndpoint(now, &all[index])
 		e.service.endpoints = append(e.service.endpoints, e)
@@ -92,6 +96,7 @@
 			delete(p.endpoints, id)
 		}
 	}
+	p.selectCanaries()
 	for _, s := range p.services {
 		s.groupByRegion()
 		p.selectSubsets(s)
@@ -105,6 +110,7 @@
 	if isNew {
 		e = p.addEndpoint(info)
 	}
+	e.moveTo(p.groupOf(info))
 	before := e.ownership()
 	if isNew || info.Sequence > e.info.Sequence {
 		e.replaced = false
@@ -115,7 +121,8 @@
 	e.region = p.options.Regions[info.Zone]
 	e.zone = p.ensureZone(info.Zone)
 	e.prefixCache.tokenLimit = e.service.cacheTokens() / 2 // the rest is for running requests and unshared blocks
-	e.excluded = e.replaced || info.State != state.EndpointAccepting || p.evacuated[info.Zone]
+	e.excluded = e.replaced || info.State != state.EndpointAccepting || p.evacuated[info.Zone] ||
+		p.withholdsVersion(now, info)
 	if isNew || !sameModels || e.ownership() != before {
 		e.service.ownersChanged = true
 	}
@@ -129,7 +136,7 @@
 	if former := p.endpoints[info.ID]; former != nil {
 		former.service.ownersChanged = true
 	}
-	e := newEndpoint(p.ensureService(info.Service), *info)
+	e := newEndpoint(p.groupOf(info), *info)
 	e.warmup.evacuationEndedAt = p.evacuationEndedAt[info.Zone]
 	p.endpoints[info.ID] = e
 	return e
--- a/serving/proxy/agent_poller.go
+++ b/serving/proxy/agent_poller.go
@@ -42,6 +42,7 @@
 	log              *zerolog.Logger
 	apply            func(*subscription.Response) (subscription.Cursor, state.MemberState)
 	takeObservations func() []state.Observation
+	rolloutReports   func() []state.RolloutReport
 
 	incarnation  uint64
 	cursor       subscription.Cursor
@@ -89,12 +90,13 @@
 	defer cancel()
 	a.gatherObservations()
 	request := subscription.Request{
-		Since:         a.cursor,
-		WaitMillis:    pollWait.Milliseconds(),
-		Incarnation:   a.incarnation,
-		State:         a.beginPoll(cancel),
-		Observations:  a.pending,
-		ClientAddress: a.clientAddress,
+		Since:          a.cursor,
+		WaitMillis:     pollWait.Milliseconds(),
+		Incarnation:    a.incarnation,
+		State:          a.beginPoll(cancel),
+		Observations:   a.pending,
+		ClientAddress:  a.clientAddress,
+		RolloutReports: a.rolloutReports(),
 	}
 	response, err = subscription.Watch.Call(ctx, a.client, a.address, &request)
 	interrupted = a.endPoll()
--- a/serving/proxy/monitor.go
+++ b/serving/proxy/monitor.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"rowanlink/serving/event"
 )
 
 const (
@@ -33,6 +35,14 @@
 		p.picker.ReportUnacknowledged(now, ids)
 	}
 	p.picker.SetRoundTrips(p.pool.RoundTrips())
+	for _, closing := range p.picker.TakeBrakeClosings() {
+		event.RolloutBraked.Log(p.log).
+			Str("service", closing.Service).
+			Str("target", closing.Target).
+			Int("step", int(closing.Step)).
+			Dur("hold_ms", closing.Hold).
+			Send()
+	}
 	pending, urgent := p.picker.PendingObservations()
 	due := urgent || now.Sub(reportedAt) >= minReportInterval
 	if !pending || !due {
--- a/serving/proxy/proxy.go
+++ b/serving/proxy/proxy.go
@@ -115,6 +115,7 @@
 		log:              log,
 		apply:            p.applyResponse,
 		takeObservations: p.picker.TakeObservations,
+		rolloutReports:   p.picker.RolloutReports,
 	}
 	return p
 }
@@ -172,7 +173,7 @@
 	}
 	p.proxyCount.Store(int64(max(p.view.proxies.MaxRunning, p.view.proxies.Live)))
 	p.retry.SetProxies(p.view.proxies.MaxRunning)
-	p.picker.Update(time.Now(), p.view.snapshot(response.Loads))
+	p.picker.Update(time.Now(), p.view.snapshot(response.Loads, response.RolloutLeases))
 	for _, id := range stopped {
 		event.EndpointUnused.Log(p.log).Str("endpoint", id).Send()
 	}
--- a/serving/proxy/proxy_test.go
+++ b/serving/proxy/proxy_test.go
@@ -61,7 +61,7 @@
 	evacuated.Evacuations = []state.Evacuation{{Zone: "z", Active: true}}
 	require.NoError(t, view.apply(&subscription.Response{Record: evacuated}))
 	assert.Same(t, table, view.table, "the same configuration is not parsed again")
-	assert.True(t, view.snapshot(nil).Record.Evacuated("z"))
+	assert.True(t, view.snapshot(nil, nil).Record.Evacuated("z"))
 
 	unreadable := &state.Record{Revision: 7, Configuration: configuration(t, 4, "{")}
 	assert.Error(t, view.apply(&subscription.Response{Record: unreadable, Removed: []string{"i-1"}}))
@@ -206,7 +206,8 @@
 	log := zerolog.Nop()
 	taken := make(chan *subscription.Response, 10)
 	w := &agentPoller{
-		client: rpc.NewClient(), address: address, clientAddress: "f", log: &log,
+		rolloutReports: func() []state.RolloutReport { return nil },
+		client:         rpc.NewClient(), address: address, clientAddress: "f", log: &log,
 		apply: func(r *subscription.Response) (subscription.Cursor, state.MemberState) {
 			taken <- r
 			return r.Cursor, state.MemberReady
--- a/serving/proxy/system_view.go
+++ b/serving/proxy/system_view.go
@@ -76,18 +76,19 @@
 	return nil
 }
 
-// snapshot returns the state for the picker. The load reports are those of the last response.
-func (v *systemView) snapshot(loads []state.Load) placement.Snapshot {
+// snapshot returns the state for the picker. The load reports and leases are those of the last response.
+func (v *systemView) snapshot(loads []state.Load, leases []state.RolloutLease) placement.Snapshot {
 	endpoints := make([]state.Endpoint, 0, len(v.endpoints))
 	for _, endpoint := range v.endpoints {
 		endpoints = append(endpoints, endpoint)
 	}
 	return placement.Snapshot{
-		Routing:   v.table,
-		Endpoints: endpoints,
-		Loads:     loads,
-		Record:    v.record,
-		Proxies:   v.proxies,
+		Routing:       v.table,
+		Endpoints:     endpoints,
+		Loads:         loads,
+		Record:        v.record,
+		Proxies:       v.proxies,
+		RolloutLeases: leases,
 	}
 }
 
--- a/serving/subscription/subscription.go
+++ b/serving/subscription/subscription.go
@@ -27,6 +27,8 @@
 	Observations []state.Observation `cbor:"5,keyasint,omitempty"`
 	// ClientAddress is where the proxy accepts clients' requests, host:port. The agent's settings don't have it.
 	ClientAddress string `cbor:"6,keyasint,omitempty"`
+	// RolloutReports are what the proxy has observed of the roll-outs in transit.
+	RolloutReports []state.RolloutReport `cbor:"7,keyasint,omitempty"`
 }
 
 // Response is a delta since the cursor, or a snapshot.
@@ -39,6 +41,8 @@
 	Removed   []string         `cbor:"5,keyasint,omitempty"` // endpoints by ID
 	Loads     []state.Load     `cbor:"6,keyasint,omitempty"`
 	Proxies   ProxyCounts      `cbor:"7,keyasint"`
+	// RolloutLeases are the present leases of the roll-outs in transit.
+	RolloutLeases []state.RolloutLease `cbor:"8,keyasint,omitempty"`
 }
 
 // ProxyCounts counts the proxies of the system, for the proxy's share of common limits.
