--- a/serving/agent/agentstate.go
+++ b/serving/agent/agentstate.go
@@ -22,6 +22,7 @@
 type agentState struct {
 	updates            *publisher
 	proxy              proxyMonitor
+	rollouts           rolloutRelay
 	started            time.Time
 	shutdownDeadline   time.Time // zero: the agent isn't shutting down
 	awaitedIncarnation uint64    // of the proxy for whose exit a shutdown waits
--- a/serving/agent/publisher.go
+++ b/serving/agent/publisher.go
@@ -35,6 +35,7 @@
 	revision          uint64 // of the record
 	proxies           subscription.ProxyCounts
 	partial           bool // a snapshot was due, but the agent wasn't synced when it was sent
+	leasesPosition    uint64
 }
 
 // publisher holds the data that the agent publishes to its proxy and computes the delta between a proxy's cursor and
@@ -51,6 +52,7 @@
 	changed     chan struct{}                   // closed, and replaced, at each change
 	applied     checkpoint                      // of the proxy's last poll: what it has applied
 	appliedNews chan struct{}                   // closed, and replaced, at each change of applied
+	leases      rolloutLeases
 }
 
 func newPublisher(incarnation uint64, endpoints endpointTable) *publisher {
@@ -133,6 +135,9 @@
 	if p.revision() > base.revision {
 		response.Record = p.record
 	}
+	if p.leases.position > base.leasesPosition {
+		response.RolloutLeases = p.leases.remaining(now)
+	}
 	if p.proxies == base.proxies && isEmpty(response) {
 		return nil, false
 	}
@@ -144,6 +149,7 @@
 func isEmpty(response *subscription.Response) bool {
 	return response.Record == nil &&
 		len(response.Endpoints) == 0 &&
+		len(response.RolloutLeases) == 0 &&
 		len(response.Removed) == 0 &&
 		len(response.Loads) == 0
 }
@@ -159,6 +165,8 @@
 		Endpoints: all.Changed,
 		Loads:     p.loads.changesSince(0),
 		Proxies:   p.proxies,
+
+		RolloutLeases: p.leases.remaining(now),
 	}
 }
 
@@ -185,6 +193,7 @@
 		revision:          p.revision(),
 		proxies:           p.proxies,
 		partial:           partial,
+		leasesPosition:    p.leases.position,
 	}
 	return subscription.Cursor{Incarnation: p.incarnation, Position: p.position}
 }
--- a/serving/agent/run.go
+++ b/serving/agent/run.go
@@ -58,6 +58,7 @@
 	a := newAgent(options.Settings, options.Log, members, newEndpointTable(options.Settings))
 	members.SetApplier(a.awaitApplied)
 	go a.confirmRecord(runContext, register.QueryOverRPC(client))
+	go a.newRolloutReporter(client).run(runContext)
 	introspect.Serve(innerMux, a.report)
 	innerMux.Handle(metrics.Path, metrics.Handler(introspect.MetricsWriter(a.report)))
 
--- a/serving/agent/subscriptionserver.go
+++ b/serving/agent/subscriptionserver.go
@@ -40,6 +40,7 @@
 	s.stateActor.Send(func(owned *agentState) {
 		owned.proxy.pollOpened(s.now(), request)
 		owned.updates.recordApplied(request.Since)
+		owned.rollouts.take(request.RolloutReports)
 	})
 	s.announceProxy()
 	s.forwardObservations(request.Observations)
--- /dev/null
+++ b/serving/core/rollouts.go
@@ -0,0 +1,256 @@
+package core
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rowanlink/serving/event"
+	"rowanlink/serving/operator"
+	"rowanlink/serving/register"
+	"rowanlink/serving/rollout"
+	"rowanlink/serving/singleton"
+	"rowanlink/serving/state"
+)
+
+const (
+	// rolloutInterval is the time between two looks at the roll-outs in transit. Reports of bad answers cause one too.
+	rolloutInterval = 250 * time.Millisecond
+	// rolloutProposalTimeout bounds the proposal of a decision.
+	rolloutProposalTimeout = 2 * time.Second
+	// leaseShareOfRollback is the duration of a lease, as a share of the time within which requests to a bad version
+	// must cease. Agents renew it each second.
+	leaseShareOfRollback = 0.5
+	// recentOrderFactor times the time for an acknowledgement is how long an order may be sent again.
+	recentOrderFactor = 3
+)
+
+// rolloutController carries out the roll-outs in the committed record: the core member with the singleton role collects
+// the proxies' reports, renews their leases, and proposes the transitions that the judge decides on. The other members
+// follow, so that each can take over.
+type rolloutController struct {
+	latest    func() (state.Record, bool)
+	change    func(ctx context.Context, update register.Update) (state.Record, error)
+	hasRole   func() bool
+	hasQuorum func() bool
+	live      func() []state.Endpoint
+	bounds    rolloutBounds
+	log       *zerolog.Logger
+	wake      chan struct{} // receives a value when bad answers were reported
+
+	mutex     sync.Mutex
+	judge     *rollout.Judge
+	condemned map[uint64]bool // by OrderRevision: a return was decided, so no lease is granted any more
+}
+
+// rolloutBounds are the operator's bounds that the controller needs.
+type rolloutBounds struct {
+	acknowledgement time.Duration
+	rollback        time.Duration
+}
+
+// startRollouts starts the controller. It proposes changes through the given register.
+func (c *coreProcess) startRollouts(lifetime context.Context, replicated operator.ReplicatedRegister) {
+	c.rollouts = &rolloutController{
+		latest: c.node.Latest,
+		change: replicated.Change,
+		hasRole: func() bool {
+			return c.members.AcquireRole(rollout.JudgeRole, singleton.Scope{Role: state.RoleCore}).Local
+		},
+		hasQuorum: c.quorum.HasQuorum,
+		live:      c.endpoints.Table().Live,
+		bounds: rolloutBounds{
+			acknowledgement: c.options.Settings.Bounds.Acknowledgement,
+			rollback:        c.options.Settings.Bounds.Rollback,
+		},
+		log:       c.options.Log,
+		wake:      make(chan struct{}, 1),
+		judge:     rollout.NewJudge(),
+		condemned: map[uint64]bool{},
+	}
+	c.rollouts.serve(c.inner)
+	go c.rollouts.run(lifetime)
+}
+
+// serve adds the handler of the agents' reports.
+func (r *rolloutController) serve(mux *http.ServeMux) {
+	rollout.ReportMethod.Serve(mux, func(_ context.Context, request *rollout.ReportRequest) (*rollout.ReportResponse, error) {
+		return r.report(time.Now(), request), nil
+	})
+}
+
+// report takes an agent's reports and returns the leases of its proxy.
+func (r *rolloutController) report(now time.Time, request *rollout.ReportRequest) *rollout.ReportResponse {
+	response := &rollout.ReportResponse{}
+	mayGrant := r.hasQuorum() && r.hasRole()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.follow(now)
+	for _, report := range request.Reports {
+		inTransit := r.judge.AddReport(request.Observer, report)
+		if inTransit && mayGrant && !r.condemned[report.OrderRevision] {
+			response.Leases = append(response.Leases, state.RolloutLease{
+				OrderRevision: report.OrderRevision,
+				Millis:        int64(leaseShareOfRollback * float64(r.bounds.rollback.Milliseconds())),
+			})
+		}
+		if len(report.BadEndpoints) > 0 {
+			r.signal()
+		}
+	}
+	return response
+}
+
+// signal wakes the controller's loop.
+func (r *rolloutController) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// follow lets the judge follow the newest committed record that this member knows, and returns its roll-outs. The caller
+// holds the mutex.
+func (r *rolloutController) follow(now time.Time) []state.Rollout {
+	record, known := r.latest()
+	if !known {
+		return nil
+	}
+	r.judge.Follow(now, record.Rollouts)
+	return record.Rollouts
+}
+
+// isRecent reports whether a roll-out may have been ordered so short a time ago that its order is still sent again.
+func (r *rolloutController) isRecent(orderRevision uint64) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	r.follow(now)
+	return r.judge.Elapsed(now, orderRevision) < recentOrderFactor*r.bounds.acknowledgement
+}
+
+// run carries out the roll-outs until the context ends.
+func (r *rolloutController) run(ctx context.Context) {
+	ticker := time.NewTicker(rolloutInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-r.wake:
+		}
+		r.mutex.Lock()
+		rollouts := r.follow(time.Now())
+		r.mutex.Unlock()
+		for _, known := range rollouts {
+			if known.State == state.RolloutInTransit {
+				r.carryOut(ctx, known)
+			}
+		}
+	}
+}
+
+// carryOut proposes the transition of a roll-out in transit that is due, if this member decides on it.
+func (r *rolloutController) carryOut(ctx context.Context, known state.Rollout) {
+	if !r.hasRole() || !r.hasQuorum() {
+		return
+	}
+	capacity, versions := capacityOf(r.live(), &known)
+	now := time.Now()
+	r.mutex.Lock()
+	decision := r.judge.Decide(now, known.OrderRevision, capacity)
+	elapsed := r.judge.Elapsed(now, known.OrderRevision)
+	if decision.Action == rollout.Return {
+		r.condemned[known.OrderRevision] = true
+	}
+	r.mutex.Unlock()
+	if decision.Action == rollout.Hold {
+		return
+	}
+	logVerdict(event.RolloutVerdict.Log(r.log), &known, decision.Verdict).
+		Int("action", int(decision.Action)).
+		Dur("elapsed_ms", elapsed).
+		Int("targets", capacity.Target).
+		Int("baseline", capacity.Baseline).
+		Send()
+	r.propose(ctx, known, rollout.Transition{
+		Service:  known.Service,
+		Revision: known.Revision,
+		Elapsed:  elapsed,
+		Decision: decision,
+		Replaced: versions,
+	})
+}
+
+// propose proposes a transition. One that isn't committed is decided on again by a later iteration.
+func (r *rolloutController) propose(ctx context.Context, known state.Rollout, transition rollout.Transition) {
+	ctx, cancel := context.WithTimeout(ctx, rolloutProposalTimeout)
+	defer cancel()
+	record, err := r.change(ctx, transition.Apply)
+	if err != nil {
+		event.RolloutUndecided.Log(r.log).Str("service", known.Service).Err(err).Send()
+		return
+	}
+	next, found := record.Rollout(known.Service)
+	if !found || next.OrderRevision != known.OrderRevision || next.Revision == known.Revision {
+		return
+	}
+	kind := event.RolloutAdvanced
+	switch next.State {
+	case state.RolloutDelivered:
+		kind = event.RolloutDelivered
+	case state.RolloutReturned:
+		kind = event.RolloutReturned
+	}
+	logVerdict(kind.Log(r.log), &next, next.Verdict).Int("step", int(next.Step)).Send()
+}
+
+// logVerdict adds a verdict to a log entry.
+func logVerdict(entry *zerolog.Event, known *state.Rollout, verdict state.RolloutVerdict) *zerolog.Event {
+	return entry.
+		Str("service", known.Service).
+		Str("target", known.Target).
+		Uint64("order", known.OrderRevision).
+		Int("reason", int(verdict.Reason)).
+		Str("route", verdict.Route).
+		Int("answers", verdict.Target.Answers).
+		Int("failed", verdict.Target.Failed).
+		Int("timed", verdict.Target.Timed).
+		Int("slow", verdict.Target.Slow).
+		Int("baseline_answers", verdict.Baseline.Answers).
+		Int("baseline_failed", verdict.Baseline.Failed).
+		Int("baseline_timed", verdict.Baseline.Timed).
+		Int("baseline_slow", verdict.Baseline.Slow)
+}
+
+// capacityOf counts a service's endpoints that accept requests and respond, and returns the software versions beside the
+// target.
+func capacityOf(all []state.Endpoint, known *state.Rollout) (capacity rollout.Capacity, versions []string) {
+	seen := map[string]bool{}
+	for _, endpoint := range all {
+		if endpoint.Service != known.Service {
+			continue
+		}
+		isTarget := endpoint.SoftwareVersion == known.Target
+		if !isTarget && !seen[endpoint.SoftwareVersion] {
+			seen[endpoint.SoftwareVersion] = true
+			versions = append(versions, endpoint.SoftwareVersion)
+		}
+		if endpoint.State != state.EndpointAccepting || endpoint.Unresponsive || known.IsRetired(endpoint.SoftwareVersion) {
+			continue
+		}
+		if !isTarget {
+			capacity.Baseline++
+			continue
+		}
+		capacity.Target++
+		if endpoint.WarmupLeftMillis == 0 {
+			capacity.WarmedUp++
+		}
+	}
+	return capacity, versions
+}
--- a/serving/core/run.go
+++ b/serving/core/run.go
@@ -71,6 +71,7 @@
 	node      *register.Node
 	quorum    *quorum.Checker
 	endpoints *exchange.Exchange
+	rollouts  *rolloutController
 	// introspector answers operators at the internal and at the control address.
 	introspector *introspector
 	control      *http.Server
@@ -89,10 +90,16 @@
 		return err
 	}
 	c.startEndpoints(lifetime)
+	applied := &appliedRegister{
+		ReplicatedRegister: c.node,
+		agents:             delivery.NewAgentNotifier(c.members),
+		log:                c.options.Log,
+	}
+	c.startRollouts(lifetime, applied)
 	c.introspector = &introspector{members: c.members, node: c.node, endpoints: c.endpoints.Table()}
 	introspect.Serve(c.inner, c.introspector.report)
 	c.inner.Handle(metrics.Path, metrics.Handler(introspect.MetricsWriter(c.introspector.report)))
-	c.control = process.Serve(listeners.control, operator.NewServer(c.controlHandler()))
+	c.control = process.Serve(listeners.control, operator.NewServer(c.controlHandler(applied)))
 	c.onClose(func() { _ = c.control.Close() }) // nothing is left to do with the connections
 	c.members.SetState(state.MemberReady)
 	go settings.Watch(lifetime, c.options.SettingsPath, settings.WatchInterval, func(process *settings.Process) {
@@ -154,7 +161,7 @@
 }
 
 // controlHandler returns the handler of calls of operators and endpoints.
-func (c *coreProcess) controlHandler() http.Handler {
+func (c *coreProcess) controlHandler(applied *appliedRegister) http.Handler {
 	process := c.options.Settings
 	forwarder := &operator.Forwarder{
 		Self:    initialSelf(process),
@@ -162,11 +169,6 @@
 		Members: c.members.Members,
 		Clock:   time.Now,
 	}
-	applied := &appliedRegister{
-		ReplicatedRegister: c.node,
-		agents:             delivery.NewAgentNotifier(c.members),
-		log:                c.options.Log,
-	}
 	mux := http.NewServeMux()
 	introspect.Serve(mux, c.introspector.report) // an operator needs no other address than this one
 	mux.Handle("/", operator.New(operator.Options{
@@ -177,6 +179,8 @@
 		Regions:    process.Regions,
 		ForwardTo:  forwarder.ForwardTo,
 		Log:        c.options.Log,
+
+		IsRecentRollout: c.rollouts.isRecent,
 	}))
 	return mux
 }
