--- a/cmd/rowanctl/config_test.go
+++ b/cmd/rowanctl/config_test.go
@@ -16,6 +16,7 @@
 
 	"rowanlink/serving/errcode"
 	"rowanlink/serving/operator"
+	"rowanlink/serving/rollout"
 	"rowanlink/serving/state"
 )
 
@@ -48,6 +49,11 @@
 	return f.err
 }
 
+func (f *fakeRegister) BeginRollout(_ context.Context, order rollout.Order, _ func(uint64) bool) error {
+	f.record.SetRollout(state.Rollout{Service: order.Service, Target: order.Target, State: state.RolloutInTransit})
+	return f.err
+}
+
 func (f *fakeRegister) Read(context.Context) (state.Record, error) { return f.record, f.err }
 
 // startCore serves the operators' API with a fake register and returns its address.
--- a/cmd/rowanctl/main.go
+++ b/cmd/rowanctl/main.go
@@ -29,6 +29,7 @@
 
 	Config        configCommand    `cmd:"" help:"Read, check or replace the configuration."`
 	Evacuate      evacuateCommand  `cmd:"" help:"Start or end the evacuation of a zone: its endpoints get no more requests."`
+	Rollout       rolloutCommand   `cmd:"" help:"Begin a roll-out of a software version, or show one."`
 	Members       membersCommand   `cmd:"" help:"List the members of the system."`
 	Endpoints     endpointsCommand `cmd:"" help:"List the endpoints."`
 	Replicas      replicasCommand  `cmd:"" help:"List the replicas of the configuration and evacuations."`
--- /dev/null
+++ b/cmd/rowanctl/rollout.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rowanlink/serving/operator/client"
+)
+
+// rolloutCommand has the commands for roll-outs.
+type rolloutCommand struct {
+	Begin beginRolloutCommand `cmd:"" help:"Order that the traffic of a service be moved to a software version. It ends by itself: delivered, or returned if the version is worse."`
+	Show  showRolloutCommand  `cmd:"" help:"Show the newest roll-out of a service, and why it ended."`
+}
+
+// beginRolloutCommand begins a roll-out.
+type beginRolloutCommand struct {
+	Service string        `arg:"" help:"Service, as the configuration names it."`
+	Target  string        `arg:"" help:"Software version that its endpoints report."`
+	Over    time.Duration `required:"" help:"Time within which the roll-out is to end, such as 15m."`
+}
+
+// Run implements the command.
+func (c *beginRolloutCommand) Run(ctx context.Context, s *session) error {
+	if c.Over <= 0 {
+		return errors.New("--over must be above zero")
+	}
+	operator, err := s.operatorClient()
+	if err != nil {
+		return err
+	}
+	if err := operator.BeginRollout(ctx, c.Service, c.Target, c.Over); err != nil {
+		return err
+	}
+	return s.printAcknowledgement("roll-out of " + c.Service + " to " + c.Target)
+}
+
+// showRolloutCommand shows a roll-out.
+type showRolloutCommand struct {
+	Service string `arg:"" help:"Service, as the configuration names it."`
+}
+
+// Run implements the command.
+func (c *showRolloutCommand) Run(ctx context.Context, s *session) error {
+	operator, err := s.operatorClient()
+	if err != nil {
+		return err
+	}
+	found, err := operator.Rollout(ctx, c.Service)
+	if err != nil {
+		return err
+	}
+	return s.printLines(found, rolloutLines(c.Service, found)...)
+}
+
+// rolloutLines describes a roll-out.
+func rolloutLines(service string, found client.Rollout) []string {
+	head := fmt.Sprintf("%s to %s: %s", service, found.Target, found.State)
+	if found.Step != "" {
+		head += ", step " + found.Step
+	}
+	lines := []string{head}
+	if found.Verdict.Reason != "" {
+		route := found.Verdict.Route
+		if route == "" {
+			route = "all routes"
+		}
+		lines = append(lines, fmt.Sprintf("reason: %s (%s)", found.Verdict.Reason, route))
+	}
+	lines = append(lines,
+		"target: "+answerLine(found.Verdict.Target),
+		"versions in force: "+answerLine(found.Verdict.Baseline))
+	if len(found.Retired) > 0 {
+		lines = append(lines, "retired: "+strings.Join(found.Retired, ", "))
+	}
+	return lines
+}
+
+// answerLine describes counts of answers.
+func answerLine(counts client.AnswerCounts) string {
+	return fmt.Sprintf("%d answers, %d failed; %d timed, %d slow", counts.Answers, counts.Failed, counts.Timed, counts.Slow)
+}
--- a/serving/operator/client/client.go
+++ b/serving/operator/client/client.go
@@ -103,6 +103,28 @@
 	return err
 }
 
+// BeginRollout orders that the traffic of a service be moved to a software version within a time.
+func (c *Client) BeginRollout(ctx context.Context, service, target string, duration time.Duration) error {
+	order := rolloutOrder{Service: service, Target: target, Seconds: duration.Seconds()}
+	body, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrap(err, "encode the order")
+	}
+	header := http.Header{contentTypeHeader: {jsonContentType}}
+	_, err = c.send(ctx, call{method: http.MethodPost, path: beginRolloutPath, header: header, body: body})
+	return err
+}
+
+// Rollout returns the newest roll-out of a service.
+func (c *Client) Rollout(ctx context.Context, service string) (Rollout, error) {
+	var found Rollout
+	body, err := c.send(ctx, call{method: http.MethodGet, path: readRolloutPath + url.PathEscape(service)})
+	if err != nil {
+		return found, err
+	}
+	return found, errors.Wrap(json.Unmarshal(body, &found), "decode the roll-out")
+}
+
 // call is one call of the operators' API.
 type call struct {
 	method string
--- a/serving/operator/client/wire.go
+++ b/serving/operator/client/wire.go
@@ -7,6 +7,8 @@
 	readPath            = "/Settings.Read"
 	beginEvacuationPath = "/Clearance.Begin/"
 	endEvacuationPath   = "/Clearance.Finish/"
+	beginRolloutPath    = "/Editions.Begin"
+	readRolloutPath     = "/Editions.Read/"
 	baseVersionHeader   = "X-Based-On"
 	contentTypeHeader   = "Content-Type"
 	jsonContentType     = "application/json"
--- a/serving/operator/fakes_test.go
+++ b/serving/operator/fakes_test.go
@@ -13,6 +13,8 @@
 
 	"rowanlink/serving/endpoints"
 	"rowanlink/serving/quorum"
+	"rowanlink/serving/register"
+	"rowanlink/serving/rollout"
 	"rowanlink/serving/state"
 )
 
@@ -70,6 +72,23 @@
 	return nil
 }
 
+func (f *fakeRegister) BeginRollout(ctx context.Context, order rollout.Order, isRecent func(uint64) bool) error {
+	if err := f.enter(ctx); err != nil {
+		return err
+	}
+	begin := rollout.Begin(order, isRecent, func(configuration state.Configuration) error {
+		return checkService(configuration, order.Service)
+	})
+	next, err := begin(f.record)
+	if errors.Is(err, register.ErrNoChange) {
+		return nil
+	}
+	if err == nil {
+		f.record = next
+	}
+	return err
+}
+
 func (f *fakeRegister) Read(ctx context.Context) (state.Record, error) {
 	return f.record, f.enter(ctx)
 }
--- a/serving/operator/operator.go
+++ b/serving/operator/operator.go
@@ -1,5 +1,5 @@
-// Package operator serves the control address of a core member: the configuration and the evacuation of zones for
-// operators, heartbeats and deregistrations for endpoints. Each resource has its own handler type. Errors are JSON
+// Package operator serves the control address of a core member: the configuration, the evacuation of zones and the
+// roll-outs of software versions for operators, heartbeats and deregistrations for endpoints. Each resource has its own handler type. Errors are JSON
 // objects with a text and the number of an errcode.Kind.
 package operator
 
@@ -14,6 +14,7 @@
 	"rowanlink/serving/errcode"
 	"rowanlink/serving/event"
 	"rowanlink/serving/quorum"
+	"rowanlink/serving/rollout"
 	"rowanlink/serving/state"
 )
 
@@ -28,6 +29,7 @@
 	idleTimeout        = 60 * time.Second
 	maxDocumentBytes   = 8 << 20
 	maxHeartbeatBytes  = 64 << 10
+	maxOrderBytes      = 64 << 10
 	maxHeaderBytes     = 64 << 10
 )
 
@@ -42,6 +44,8 @@
 	AmendConfiguration(ctx context.Context, amendment Amendment) error
 	// SetEvacuation starts or ends the evacuation of a zone.
 	SetEvacuation(ctx context.Context, zone string, active bool) error
+	// BeginRollout begins a roll-out, as rollout.Begin says.
+	BeginRollout(ctx context.Context, order rollout.Order, isRecent func(orderRevision uint64) bool) error
 	// Read returns the record as a majority holds it. The read is linearizable: it includes all that was acknowledged
 	// before.
 	Read(ctx context.Context) (state.Record, error)
@@ -76,13 +80,17 @@
 	// ForwardTo returns the control address to which the endpoint should send its next heartbeats, empty for none; see
 	// Forwarder.
 	ForwardTo func(id, zone string) string
-	Log       *zerolog.Logger
+	// IsRecentRollout reports whether a roll-out, by its OrderRevision, may have been ordered so short a time ago that
+	// the order is still sent again. Nil: always.
+	IsRecentRollout func(orderRevision uint64) bool
+	Log             *zerolog.Logger
 }
 
 // New returns the handler of the control address.
 func New(options Options) http.Handler {
 	configuration := &ConfigurationResource{register: options.Register, log: options.Log}
 	evacuation := &EvacuationResource{register: options.Register, regions: options.Regions, log: options.Log}
+	rollouts := &RolloutResource{register: options.Register, isRecent: options.IsRecentRollout, log: options.Log}
 	endpoint := &EndpointResource{
 		endpoints:  options.Endpoints,
 		replicator: options.Replicator,
@@ -96,6 +104,8 @@
 	mux.HandleFunc("GET /Settings.Read", configuration.Read)
 	mux.HandleFunc("POST /Clearance.Begin/{zone}", evacuation.Begin)
 	mux.HandleFunc("POST /Clearance.Finish/{zone}", evacuation.End)
+	mux.HandleFunc("POST /Editions.Begin", rollouts.Begin)
+	mux.HandleFunc("GET /Editions.Read/{service}", rollouts.Read)
 	mux.HandleFunc("POST /Endpoints.Beat/{id}", endpoint.Heartbeat)
 	mux.HandleFunc("POST /Endpoints.SignOff/{id}", endpoint.Deregister)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
--- a/serving/operator/registeradapter.go
+++ b/serving/operator/registeradapter.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"rowanlink/serving/register"
+	"rowanlink/serving/rollout"
 	"rowanlink/serving/state"
 )
 
@@ -41,6 +42,17 @@
 	return err
 }
 
+// BeginRollout implements Register.
+func (a registerAdapter) BeginRollout(
+	ctx context.Context, order rollout.Order, isRecent func(orderRevision uint64) bool,
+) error {
+	update := rollout.Begin(order, isRecent, func(configuration state.Configuration) error {
+		return checkService(configuration, order.Service)
+	})
+	_, err := a.replicated.Change(ctx, update)
+	return err
+}
+
 // Read implements Register.
 func (a registerAdapter) Read(ctx context.Context) (state.Record, error) {
 	return a.replicated.Read(ctx)
