--- a/serving/core/rollouts.go
+++ b/serving/core/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -97,7 +98,7 @@
 				Millis:        int64(leaseShareOfRollback * float64(r.bounds.rollback.Milliseconds())),
 			})
 		}
-		if len(report.BadEndpoints) > 0 {
+		if slices.ContainsFunc(report.Endpoints, func(e state.EndpointCounts) bool { return e.Bad > 0 }) {
 			r.signal()
 		}
 	}
--- a/serving/placement/rollout_observations.go
+++ b/serving/placement/rollout_observations.go
@@ -17,11 +17,11 @@
 
 // rolloutObservations are this proxy's counts of a service's answers since it knows of a roll-out.
 type rolloutObservations struct {
-	sequence     uint64
-	routes       map[string]*state.RouteCounts // by name; "" for those beyond the limit
-	badEndpoints []string
-	hasNewBad    bool // bad answers of the target that weren't reported yet
-	closings     []BrakeClosing
+	sequence  uint64
+	routes    map[string]*state.RouteCounts // by name; "" for those beyond the limit
+	endpoints []state.EndpointCounts
+	hasNewBad bool // bad answers of the target that weren't reported yet
+	closings  []BrakeClosing
 }
 
 func newRolloutObservations() rolloutObservations {
@@ -46,11 +46,33 @@
 	return &counts.Baseline
 }
 
+// endpointOf returns the counts of the endpoint of the target that a call went to; nil for those beyond the limit.
+func (o *rolloutObservations) endpointOf(c *call) *state.EndpointCounts {
+	id := c.endpoint.info.ID
+	for index := range o.endpoints {
+		if o.endpoints[index].ID == id {
+			return &o.endpoints[index]
+		}
+	}
+	if len(o.endpoints) >= state.MaxReportedEndpoints {
+		return nil
+	}
+	o.endpoints = append(o.endpoints, state.EndpointCounts{ID: id, LoadProbe: c.isLoadProbe})
+	return &o.endpoints[len(o.endpoints)-1]
+}
+
+// addAnswer notes that an endpoint of the target answered.
+func (o *rolloutObservations) addAnswer(c *call) {
+	if counts := o.endpointOf(c); counts != nil {
+		counts.Answers++
+	}
+}
+
 // addBad notes that an endpoint of the target gave a bad answer.
-func (o *rolloutObservations) addBad(id string) {
+func (o *rolloutObservations) addBad(c *call) {
 	o.hasNewBad = true
-	if len(o.badEndpoints) < state.MaxReportedEndpoints && !slices.Contains(o.badEndpoints, id) {
-		o.badEndpoints = append(o.badEndpoints, id)
+	if counts := o.endpointOf(c); counts != nil {
+		counts.Bad++
 	}
 }
 
@@ -71,8 +93,8 @@
 		return
 	}
 	counts := found.observed.countsOf(c, isTarget)
-	counts.Answers++
-	if c.isLoadProbe || p.isWarmingUp(now, c.endpoint) {
+	found.addAnswer(c, counts, isTarget)
+	if c.isLoadProbe || p.isWarmingUp(now, c.endpoint) || !found.comparesTimes() {
 		return // the endpoint is slow by itself
 	}
 	counts.Timed++
@@ -82,11 +104,25 @@
 	}
 }
 
+// comparesTimes reports whether the times of answers can be compared in the present step. When all requests have gone
+// over to engines with empty caches, they are slow for that reason.
+func (r *rolloutInTransit) comparesTimes() bool {
+	return r.info.Step != state.RolloutFull || !r.target.hasEngine()
+}
+
+// addAnswer counts an answer.
+func (r *rolloutInTransit) addAnswer(c *call, counts *state.AnswerCounts, isTarget bool) {
+	counts.Answers++
+	if isTarget {
+		r.observed.addAnswer(c)
+	}
+}
+
 // recordSlow counts a slow answer.
 func (r *rolloutInTransit) recordSlow(c *call, counts *state.AnswerCounts, isTarget bool) {
 	counts.Slow++
 	if isTarget {
-		r.observed.addBad(c.endpoint.info.ID)
+		r.observed.addBad(c)
 	}
 }
 
@@ -104,7 +140,7 @@
 	case attempt.Failed, attempt.Broken:
 		counts := found.observed.countsOf(c, isTarget)
 		if !c.gotFirstByte {
-			counts.Answers++
+			found.addAnswer(c, counts, isTarget)
 		}
 		counts.Failed++
 		if isTarget {
@@ -112,8 +148,8 @@
 		}
 	case attempt.TimedOut:
 		counts := found.observed.countsOf(c, isTarget)
-		if !c.gotFirstByte && !c.isLoadProbe {
-			counts.Answers++
+		if !c.gotFirstByte && !c.isLoadProbe && found.comparesTimes() {
+			found.addAnswer(c, counts, isTarget)
 			counts.Timed++
 			found.recordSlow(c, counts, isTarget)
 		}
@@ -122,7 +158,7 @@
 
 // recordTargetFailure notes a failed answer of the target.
 func (r *rolloutInTransit) recordTargetFailure(now time.Time, c *call) {
-	r.observed.addBad(c.endpoint.info.ID)
+	r.observed.addBad(c)
 	if c.isLoadProbe {
 		return // the endpoint's failure rate keeps this proxy from loading it further
 	}
@@ -189,7 +225,7 @@
 			OrderRevision: r.info.OrderRevision,
 			Incarnation:   p.rollouts.incarnation,
 			Sequence:      r.observed.sequence,
-			BadEndpoints:  slices.Clone(r.observed.badEndpoints),
+			Endpoints:     slices.Clone(r.observed.endpoints),
 		}
 		for _, counts := range r.observed.routes {
 			report.Routes = append(report.Routes, *counts)
--- a/serving/placement/rollouts.go
+++ b/serving/placement/rollouts.go
@@ -202,8 +202,12 @@
 		}
 		regions := r.rankedByRegion()
 		r.selectLoadProbes(regions)
+		least := minCanaries
+		if r.info.Step == state.RolloutRamp {
+			least = 1 // they are to be as busy as the endpoints in force
+		}
 		for _, candidates := range regions {
-			count := max(minCanaries, int(share*float64(len(candidates))))
+			count := max(least, int(share*float64(len(candidates))))
 			for _, e := range candidates[min(count, len(candidates)):] {
 				e.excluded = !e.isLoadProbe
 			}
--- a/serving/rollout/schedule.go
+++ b/serving/rollout/schedule.go
@@ -44,6 +44,14 @@
 	}
 }
 
+// suspicionShare returns the share of a test's threshold from which the next step has to wait.
+func (s *schedule) suspicionShare(elapsed time.Duration) float64 {
+	if elapsed < s.rampAt+s.rampTime/2 {
+		return suspicionShare
+	}
+	return lateSuspicionShare
+}
+
 func share(duration time.Duration, part float64) time.Duration {
 	return time.Duration(float64(duration) * part)
 }
--- a/serving/state/rollout.go
+++ b/serving/state/rollout.go
@@ -134,8 +134,8 @@
 	Incarnation   uint64        `cbor:"2,keyasint"`           // of the proxy's process, whose counts begin at zero
 	Sequence      uint64        `cbor:"3,keyasint"`           // increases with each report of an incarnation
 	Routes        []RouteCounts `cbor:"4,keyasint,omitempty"` // at most MaxReportedRoutes
-	// BadEndpoints are endpoints of the target whose answers failed or were slow, by ID, at most MaxReportedEndpoints.
-	BadEndpoints []string `cbor:"5,keyasint,omitempty"`
+	// Endpoints are the counts of the target's endpoints, of the first ones that answered, at most MaxReportedEndpoints.
+	Endpoints []EndpointCounts `cbor:"5,keyasint,omitempty"`
 	// BaselineInFlight is the number of this proxy's calls at endpoints of the versions in force.
 	BaselineInFlight int `cbor:"6,keyasint,omitempty"`
 }
@@ -147,10 +147,19 @@
 	Baseline AnswerCounts `cbor:"3,keyasint"`
 }
 
+// EndpointCounts are the counts of one endpoint of the target.
+type EndpointCounts struct {
+	ID      string `cbor:"1,keyasint"`
+	Answers int    `cbor:"2,keyasint,omitempty"`
+	Bad     int    `cbor:"3,keyasint,omitempty"` // failed or slow
+	// LoadProbe means that the endpoint was loaded on purpose.
+	LoadProbe bool `cbor:"4,keyasint,omitempty"`
+}
+
 // Bounds of a report.
 const (
 	MaxReportedRoutes    = 48
-	MaxReportedEndpoints = 8
+	MaxReportedEndpoints = 24
 )
 
 // RolloutLease permits a proxy to send requests to the target of a roll-out in transit for some time. Without one it
