--- a/serving/placement/eligibility.go
+++ b/serving/placement/eligibility.go
@@ -53,6 +53,12 @@
 		!slices.Contains(s.request.TriedEndpoints, e.info.ID)
 }
 
+// lacksPinnedVersion reports whether no endpoint is left that could resume the request's stream.
+func (s *candidateSearch) lacksPinnedVersion() bool {
+	mayResume := func(e *endpoint) bool { return !e.excluded && s.allowsVersion(e) }
+	return s.pinnedVersion != "" && !slices.ContainsFunc(s.service.endpoints, mayResume)
+}
+
 // allowsVersion reports whether the request may go to an endpoint's software version.
 func (s *candidateSearch) allowsVersion(e *endpoint) bool {
 	return s.pinnedVersion == "" || e.info.SoftwareVersion == s.pinnedVersion
--- a/serving/placement/pick.go
+++ b/serving/placement/pick.go
@@ -30,6 +30,9 @@
 	}
 	p.prepareSearch(&s)
 	p.searchRegions(&s)
+	if s.best.endpoint == nil && s.lacksPinnedVersion() {
+		return Choice{}, p.reject(noEndpointRetryAfter)
+	}
 	if s.best.endpoint == nil {
 		return Choice{}, p.waitOrReject(&s)
 	}
--- a/serving/placement/rollouts.go
+++ b/serving/placement/rollouts.go
@@ -41,7 +41,7 @@
 }
 
 // versionTimes has the time when each software version of a service was first seen; the zero time for those that were
-// there when the process started.
+// there when the process started, or when it first saw the service.
 type versionTimes struct {
 	firstSeen map[string]time.Time
 	// unestablished: all endpoints that accept requests are of versions that are held, so these get requests.
@@ -150,17 +150,19 @@
 // noteVersions notes when the versions of the endpoints were first seen.
 func (p *Picker) noteVersions(now time.Time, all []state.Endpoint) {
 	starting := now.Sub(p.options.StartedAt) < discoverySpan
+	newServices := map[string]bool{}
 	established := map[string]bool{}
 	for index := range all {
 		info := &all[index]
 		times, found := p.rollouts.versions[info.Service]
 		if !found {
+			newServices[info.Service] = true
 			times.firstSeen = map[string]time.Time{}
 			p.rollouts.versions[info.Service] = times
 		}
 		if _, seen := times.firstSeen[info.SoftwareVersion]; !seen {
 			times.firstSeen[info.SoftwareVersion] = now
-			if starting {
+			if starting || newServices[info.Service] {
 				times.firstSeen[info.SoftwareVersion] = time.Time{}
 			}
 		}
