--- a/serving/core/rollouts.go
+++ b/serving/core/rollouts.go
@@ -175,6 +175,10 @@
 	logVerdict(event.RolloutVerdict.Log(r.log), &known, decision.Verdict).
 		Int("action", int(decision.Action)).
 		Dur("elapsed_ms", elapsed).
+		Int("bad_endpoints", decision.Spread.Bad).
+		Int("tested_endpoints", decision.Spread.Tested).
+		Int("tested_bad", decision.Spread.TestedBad).
+		Int("bad_probes", decision.Spread.BadProbes).
 		Int("targets", capacity.Target).
 		Int("baseline", capacity.Baseline).
 		Send()
--- a/serving/placement/endpoint.go
+++ b/serving/placement/endpoint.go
@@ -26,7 +26,8 @@
 	excluded    bool   // evacuated, draining, terminated or replaced: nothing may be sent
 	replaced    bool   // another incarnation has responded at its address
 
-	isLoadProbe bool // of a roll-out's target; it gets the requests that are to load it, and no others
+	isLoadProbe    bool // of a roll-out's target; it gets the requests that are to load it, and no others
+	loadProbeCalls int  // that this proxy has sent to load it
 
 	inSubset bool // this proxy prefers it, see selectSubsets
 
--- a/serving/placement/pick.go
+++ b/serving/placement/pick.go
@@ -124,6 +124,9 @@
 		expectedFirstByte: best.firstByte,
 	}
 	e.startCall(c)
+	if c.isLoadProbe {
+		e.loadProbeCalls++
+	}
 	if e.health.isEjected() {
 		e.health.probe = c
 	}
--- a/serving/placement/rollout_observations.go
+++ b/serving/placement/rollout_observations.go
@@ -10,9 +10,10 @@
 
 const (
 	// An answer is slow if its first byte takes slowFactor times the time that the versions in force would need, and
-	// slowSlack more.
-	slowFactor = 3
-	slowSlack  = 150 * time.Millisecond
+	// slowSlack more, or engineSlowSlack where it may have been behind prompts of other proxies.
+	slowFactor      = 4
+	slowSlack       = 100 * time.Millisecond
+	engineSlowSlack = 300 * time.Millisecond
 )
 
 // rolloutObservations are this proxy's counts of a service's answers since it knows of a roll-out.
@@ -46,11 +47,12 @@
 	return &counts.Baseline
 }
 
-// endpointOf returns the counts of the endpoint of the target that a call went to; nil for those beyond the limit.
+// endpointOf returns the counts of the endpoint of the target that a call went to, apart for calls that load it on purpose;
+// nil for those beyond the limit.
 func (o *rolloutObservations) endpointOf(c *call) *state.EndpointCounts {
 	id := c.endpoint.info.ID
 	for index := range o.endpoints {
-		if o.endpoints[index].ID == id {
+		if o.endpoints[index].ID == id && o.endpoints[index].LoadProbe == c.isLoadProbe {
 			return &o.endpoints[index]
 		}
 	}
@@ -98,8 +100,7 @@
 		return // the endpoint is slow by itself
 	}
 	counts.Timed++
-	expected := p.ensureService(c.endpoint.service.name).expectedFirstByte(c)
-	if now.Sub(c.sentAt) > slowFactor*expected+slowSlack {
+	if now.Sub(c.sentAt) > p.ensureService(c.endpoint.service.name).slowFirstByte(c) {
 		found.recordSlow(c, counts, isTarget)
 	}
 }
@@ -138,6 +139,9 @@
 			found.brake.recordSuccess()
 		}
 	case attempt.Failed, attempt.Broken:
+		if c.isLoadProbe && outcome == attempt.Broken {
+			return // when an endpoint ends, all that loaded it breaks off at once
+		}
 		counts := found.observed.countsOf(c, isTarget)
 		if !c.gotFirstByte {
 			found.addAnswer(c, counts, isTarget)
@@ -195,6 +199,14 @@
 	return closings
 }
 
+// slowFirstByte returns the time to the first byte beyond which a call's answer is slow.
+func (s *service) slowFirstByte(c *call) time.Duration {
+	if s.hasEngine() {
+		return slowFactor*s.expectedFirstByte(c) + engineSlowSlack
+	}
+	return slowFactor*s.expectedFirstByte(c) + slowSlack
+}
+
 // expectedFirstByte returns the time to the first byte of a call's answer by what is known of the service, without
 // other requests in the endpoint's queue but those of this proxy.
 func (s *service) expectedFirstByte(c *call) time.Duration {
--- a/serving/placement/rollouts.go
+++ b/serving/placement/rollouts.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -19,10 +20,12 @@
 	rampShareOfBound = 2.5
 	maxRampShare     = 0.25
 	// loadProbes is the number of the target's endpoints that are loaded in the load step, one after the other, up to
-	// loadProbeShare of their slots, by loadProbeDraw of the requests with short prompts.
+	// loadProbeShare of their slots, by requests with short prompts. With a single one, its own fault couldn't be told
+	// from one of the version.
 	loadProbes     = 2
 	loadProbeShare = 0.6
-	loadProbeDraw  = 0.5
+	// loadProbeCalls bounds the calls that load one endpoint, in multiples of that load.
+	loadProbeCalls = 2
 	// minCanaries is the least number of the target's endpoints in a region that get requests: the fault of one of
 	// them must not look like one of the version.
 	minCanaries = 3
@@ -210,8 +213,8 @@
 		}
 		for _, candidates := range regions {
 			count := max(least, int(share*float64(len(candidates))))
-			for _, e := range candidates[min(count, len(candidates)):] {
-				e.excluded = !e.isLoadProbe
+			for index, e := range candidates {
+				e.excluded = index >= count && !e.isLoadProbe
 			}
 		}
 		r.target.forgetOwners()
@@ -223,6 +226,9 @@
 	regions := map[string][]*endpoint{}
 	for _, e := range r.target.endpoints {
 		e.isLoadProbe = false
+		if r.info.Step != state.RolloutLoad {
+			e.loadProbeCalls = 0
+		}
 		if !e.excluded {
 			regions[e.region] = append(regions[e.region], e)
 		}
@@ -233,7 +239,7 @@
 	return regions
 }
 
-// selectLoadProbes selects the endpoints to be loaded, beside the canaries in the region with the most endpoints.
+// selectLoadProbes selects the endpoints to be loaded, the last ones of the region with the most endpoints.
 func (r *rolloutInTransit) selectLoadProbes(regions map[string][]*endpoint) {
 	if r.info.Step != state.RolloutLoad {
 		return
@@ -245,18 +251,23 @@
 			largest = candidates
 		}
 	}
-	for _, e := range largest[min(minCanaries, len(largest)):min(minCanaries+loadProbes, len(largest))] {
+	count := min(loadProbes, len(largest)/minCanaries)
+	for _, e := range largest[len(largest)-count:] {
 		e.isLoadProbe = true
 		r.loadProbes = append(r.loadProbes, e)
 	}
 }
 
-// isLoaded reports whether an endpoint has as many requests as a load probe is to get, by its own report.
-func (e *endpoint) isLoaded(now time.Time) bool {
-	if e.loadReportedAt.IsZero() || now.Sub(e.loadReportedAt) > loadReportTTL {
-		return float64(e.inFlight) >= loadProbeShare*e.slots()
+// isLoaded reports whether a load probe has as many requests as it is to get, by its own report, or this proxy's share of
+// them (reports are some hundred milliseconds old), or whether it got its share of all that may load it.
+func (p *Picker) isLoaded(now time.Time, e *endpoint) bool {
+	limit := loadProbeShare * e.slots()
+	proxies := float64(max(p.proxyCount, 1))
+	if float64(e.inFlight) >= math.Ceil(limit/proxies) || float64(e.loadProbeCalls) >= math.Ceil(loadProbeCalls*limit/proxies) {
+		return true
 	}
-	return float64(e.loadReport.Running+e.loadReport.Queued) >= loadProbeShare*e.slots()
+	isKnown := !e.loadReportedAt.IsZero() && now.Sub(e.loadReportedAt) <= loadReportTTL
+	return isKnown && float64(e.loadReport.Running+e.loadReport.Queued) >= limit
 }
 
 // drawLoadProbe returns the endpoint that is to be loaded by a request, nil for none.
@@ -265,13 +276,9 @@
 		return nil
 	}
 	for _, e := range r.loadProbes {
-		if e.isLoaded(now) || e.health.failureRate > 0 {
-			continue
-		}
-		if p.random.Float64() < loadProbeDraw {
+		if !p.isLoaded(now, e) && e.health.failureRate == 0 {
 			return e
 		}
-		return nil
 	}
 	return nil
 }
--- a/serving/rollout/evidence.go
+++ b/serving/rollout/evidence.go
@@ -15,25 +15,25 @@
 	// find.
 	failureDegradation = 0.12
 	slowDegradation    = 0.25
+	probeDegradation   = 0.08 // of endpoints that are loaded on purpose
 	// falseAlarmRate bounds the probability that a version that is as good as those in force is stopped at any one
 	// return of the sum to zero (Wald's bound).
 	falseAlarmRate = 1e-4
 	// baselineFactor and the least shares leave room for the baseline's error and for single faults.
-	baselineFactor  = 1.5
-	minFailureShare = 0.015
-	// minFullFailureShare replaces minFailureShare in the full step: requests reach endpoints that no request has tested
-	// before, and there are many answers to decide by.
-	minFullFailureShare = 0.05
-	minSlowShare        = 0.06
-	maxToleratedPart    = 0.5 // beyond that share at the baseline nothing can be told apart
+	baselineFactor   = 1.5
+	minFailureShare  = 0.005
+	minSlowShare     = 0.06
+	maxToleratedPart = 0.5 // beyond that share at the baseline nothing can be told apart
 	// priorAnswers is the number of good answers that the baseline's share begins with.
 	priorAnswers = 20
 	// requiredBadEndpoints is the number of the target's endpoints that must have given bad answers, and
 	// requiredBadShare their share of those with testedAnswers answers at least: the fault of a few endpoints is not one
-	// of the version. Of endpoints that are loaded on purpose requiredBadProbes suffice.
+	// of the version. Of endpoints that are loaded on purpose requiredBadProbes suffice, or a single one where hardly
+	// any answer of the versions in force fails.
 	requiredBadEndpoints = 3
 	requiredBadShare     = 0.4
 	requiredBadProbes    = 2
+	calmFailureShare     = 0.005 // of the baseline's answers, up to which a single such endpoint suffices
 	testedAnswers        = 4
 )
 
@@ -75,7 +75,6 @@
 type routeEvidence struct {
 	target, baseline state.AnswerCounts
 	failures, slow   cusum
-	leastFailures    float64 // share of failed answers that is tolerated at least
 }
 
 // add adds the counts that have come since the last report.
@@ -87,7 +86,7 @@
 }
 
 func (r *routeEvidence) toleratedFailures() float64 {
-	return toleratedShare(r.baseline.Failed, r.baseline.Answers, r.leastFailures)
+	return toleratedShare(r.baseline.Failed, r.baseline.Answers, minFailureShare)
 }
 
 func (r *routeEvidence) toleratedSlow() float64 {
@@ -126,29 +125,17 @@
 
 // evidence sums up the reports of all proxies on one roll-out.
 type evidence struct {
-	routes        map[string]*routeEvidence        // by name; allRoutes for all together
-	endpoints     map[string]*state.EndpointCounts // of the target, by ID
-	reports       map[string]state.RolloutReport   // the newest of each proxy, by observer
-	leastFailures float64                          // share of failed answers that is tolerated at least
+	routes    map[string]*routeEvidence // by name; allRoutes for all together
+	probes    probeEvidence
+	endpoints map[endpointKey]*state.EndpointCounts // of the target
+	reports   map[string]state.RolloutReport        // the newest of each proxy, by observer
 }
 
 func newEvidence() *evidence {
 	return &evidence{
-		routes:        map[string]*routeEvidence{},
-		endpoints:     map[string]*state.EndpointCounts{},
-		reports:       map[string]state.RolloutReport{},
-		leastFailures: minFailureShare,
-	}
-}
-
-// enterStep takes note of the step of the roll-out.
-func (e *evidence) enterStep(step state.RolloutStep) {
-	if step != state.RolloutFull {
-		return
-	}
-	e.leastFailures = minFullFailureShare
-	for _, known := range e.routes {
-		known.leastFailures = e.leastFailures
+		routes:    map[string]*routeEvidence{},
+		endpoints: map[endpointKey]*state.EndpointCounts{},
+		reports:   map[string]state.RolloutReport{},
 	}
 }
 
@@ -163,7 +150,6 @@
 	if last.Incarnation != report.Incarnation {
 		last = state.RolloutReport{}
 	}
-	e.addEndpoints(last.Endpoints, report.Endpoints)
 	before := map[string]state.RouteCounts{}
 	for _, counts := range last.Routes {
 		before[counts.Route] = counts
@@ -179,46 +165,100 @@
 		}
 	}
 	e.route(allRoutes).add(target, baseline)
+	e.addEndpoints(last.Endpoints, report.Endpoints)
+}
+
+// endpointKey identifies counts of an endpoint.
+type endpointKey struct {
+	id        string
+	loadProbe bool
+}
+
+func keyOf(counts state.EndpointCounts) endpointKey {
+	return endpointKey{id: counts.ID, loadProbe: counts.LoadProbe}
 }
 
 // addEndpoints adds what a proxy's counts of endpoints have grown by.
 func (e *evidence) addEndpoints(before, after []state.EndpointCounts) {
 	for _, counts := range after {
-		known := e.endpoints[counts.ID]
+		known := e.endpoints[keyOf(counts)]
 		if known == nil {
 			known = &state.EndpointCounts{ID: counts.ID, LoadProbe: counts.LoadProbe}
-			e.endpoints[counts.ID] = known
+			e.endpoints[keyOf(counts)] = known
 		}
 		known.Answers += counts.Answers
 		known.Bad += counts.Bad
 	}
 	for _, counts := range before {
-		known := e.endpoints[counts.ID]
+		known := e.endpoints[keyOf(counts)]
 		known.Answers -= counts.Answers
 		known.Bad -= counts.Bad
 	}
+	e.probes.add(probeCounts(after).Sub(probeCounts(before)), e.route(allRoutes).toleratedFailures())
+}
+
+// probeCounts sums up the counts of the endpoints that were loaded on purpose.
+func probeCounts(endpoints []state.EndpointCounts) (sum state.AnswerCounts) {
+	for _, counts := range endpoints {
+		if counts.LoadProbe {
+			sum.Answers += counts.Answers
+			sum.Failed += counts.Bad
+		}
+	}
+	return sum
 }
 
-// isSpread reports whether so many of the target's endpoints gave bad answers that the fault is one of the version. live
-// is the number of the target's endpoints.
-func (e *evidence) isSpread(live int) bool {
-	bad, tested, testedBad, badProbes := 0, 0, 0, 0
+// probeEvidence is what the endpoints that are loaded on purpose have shown. A version may fail there only while as many
+// requests as it has to bear run at once, so a smaller share of failures counts.
+type probeEvidence struct {
+	counts   state.AnswerCounts
+	failures cusum
+}
+
+func (p *probeEvidence) add(counts state.AnswerCounts, tolerated float64) {
+	p.counts = p.counts.Add(counts)
+	p.failures.add(max(counts.Answers-counts.Failed, 0), max(counts.Failed, 0), tolerated, probeDegradation)
+}
+
+// Spread counts the target's endpoints by what their answers were like.
+type Spread struct {
+	Bad       int // endpoints with bad answers, but those that were loaded on purpose
+	Tested    int // endpoints with testedAnswers answers at least, but those
+	TestedBad int // of these, endpoints with bad answers
+	BadProbes int // endpoints that were loaded on purpose, with bad answers
+}
+
+// spread counts the target's endpoints.
+func (e *evidence) spread() (s Spread) {
 	for _, counts := range e.endpoints {
-		isBad := counts.Bad > 0
-		switch {
-		case counts.LoadProbe:
-			badProbes += count(isBad)
+		isBad := count(counts.Bad > 0)
+		if counts.LoadProbe {
+			s.BadProbes += isBad
 			continue
-		case counts.Answers >= testedAnswers:
-			tested++
-			testedBad += count(isBad)
 		}
-		bad += count(isBad)
+		s.Bad += isBad
+		if counts.Answers >= testedAnswers {
+			s.Tested++
+			s.TestedBad += isBad
+		}
 	}
-	if badProbes >= min(requiredBadProbes, max(live, 1)) {
-		return true
+	return s
+}
+
+// isOfVersion reports whether so many of the target's endpoints gave bad answers that the fault is one of the version.
+// live is the number of the target's endpoints.
+func (s *Spread) isOfVersion(live int) bool {
+	return s.Bad >= min(requiredBadEndpoints, max(live, 1)) && float64(s.TestedBad) >= requiredBadShare*float64(s.Tested)
+}
+
+// isOfProbes reports whether so many of the endpoints that were loaded on purpose gave bad answers that the fault is one
+// of the version. baseline are the counts of the versions in force.
+func (s *Spread) isOfProbes(live int, baseline state.AnswerCounts) bool {
+	required := requiredBadProbes
+	if float64(baseline.Failed) <= calmFailureShare*float64(baseline.Answers) {
+		required = 1
 	}
-	return bad >= min(requiredBadEndpoints, max(live, 1)) && float64(testedBad) >= requiredBadShare*float64(tested)
+	return s.BadProbes >= min(required, max(live, 1))
 }
 
 // count returns 1 if the condition holds.
@@ -232,7 +272,7 @@
 func (e *evidence) route(name string) *routeEvidence {
 	known := e.routes[name]
 	if known == nil {
-		known = &routeEvidence{leastFailures: e.leastFailures}
+		known = &routeEvidence{}
 		e.routes[name] = known
 	}
 	return known
@@ -242,7 +282,11 @@
 // routes if it doesn't. live is the number of the target's endpoints.
 func (e *evidence) verdict(live int) state.RolloutVerdict {
 	all := e.route(allRoutes)
-	if e.isSpread(live) {
+	spread := e.spread()
+	if spread.isOfProbes(live, all.baseline) && e.probes.failures.alarmed() {
+		return state.RolloutVerdict{Reason: state.RolloutFailures, Target: e.probes.counts, Baseline: all.baseline}
+	}
+	if spread.isOfVersion(live) {
 		if reason := all.reason(); reason != state.RolloutNotReturned {
 			return state.RolloutVerdict{Reason: reason, Target: all.target, Baseline: all.baseline}
 		}
@@ -260,6 +304,9 @@
 // suspicion returns the reason for which a roll-out isn't advanced for now; RolloutNotReturned if there is none. share is
 // that of the test's threshold which is needed for it.
 func (e *evidence) suspicion(share float64) state.RolloutReason {
+	if e.probes.failures.suspicious(share) {
+		return state.RolloutFailures
+	}
 	for _, found := range e.routes {
 		if reason := found.suspicion(share); reason != state.RolloutNotReturned {
 			return reason
--- a/serving/state/rollout.go
+++ b/serving/state/rollout.go
@@ -152,7 +152,8 @@
 	ID      string `cbor:"1,keyasint"`
 	Answers int    `cbor:"2,keyasint,omitempty"`
 	Bad     int    `cbor:"3,keyasint,omitempty"` // failed or slow
-	// LoadProbe means that the endpoint was loaded on purpose.
+	// LoadProbe means that the counts are those of calls that loaded the endpoint on purpose. Others have an entry of
+	// their own.
 	LoadProbe bool `cbor:"4,keyasint,omitempty"`
 }
 
