--- a/cmd/rowanctl/encoding_test.go
+++ b/cmd/rowanctl/encoding_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"rowanlink/internal/wireschema"
+	"rowanlink/serving/operator/client"
 	"rowanlink/serving/routing"
 	"rowanlink/test/encodedforms"
 )
@@ -19,5 +20,6 @@
 		[]replicaRow{},
 		[]singletonRow{},
 		[]versionRow{},
+		client.Rollout{},
 	)
 }
--- /dev/null
+++ b/serving/agent/rollouts_test.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rowanlink/serving/state"
+)
+
+func recordInTransit(order uint64) *state.Record {
+	return &state.Record{Revision: order, Rollouts: []state.Rollout{
+		{Service: "s", Target: "v2", State: state.RolloutInTransit, OrderRevision: order},
+		{Service: "t", Target: "v2", State: state.RolloutReturned, OrderRevision: 1},
+	}}
+}
+
+func reportWith(order, sequence uint64, failed int) state.RolloutReport {
+	return state.RolloutReport{OrderRevision: order, Incarnation: 5, Sequence: sequence,
+		Routes: []state.RouteCounts{{Target: state.AnswerCounts{Answers: 10, Failed: failed}}}}
+}
+
+func TestRolloutRelay_ReportsAtIntervalsAndBadAnswersAtOnce(t *testing.T) {
+	var relay rolloutRelay
+	assert.Empty(t, relay.due(timeAfter(0), nil))
+	assert.Empty(t, relay.due(timeAfter(0), &state.Record{}))
+	record := recordInTransit(4)
+	first := relay.due(timeAfter(time.Second), record)
+	require.Len(t, first, 1, "without a report of the proxy, for the lease")
+	assert.Equal(t, state.RolloutReport{OrderRevision: 4}, first[0])
+	assert.Empty(t, relay.due(timeAfter(1500*time.Millisecond), record))
+
+	relay.take([]state.RolloutReport{reportWith(4, 1, 0)})
+	assert.Len(t, relay.due(timeAfter(1600*time.Millisecond), record), 1, "of a proxy's new process")
+	relay.take([]state.RolloutReport{reportWith(4, 2, 0)})
+	assert.Empty(t, relay.due(timeAfter(1700*time.Millisecond), record))
+	relay.take([]state.RolloutReport{reportWith(4, 3, 1)})
+	urgent := relay.due(timeAfter(1800*time.Millisecond), record)
+	require.Len(t, urgent, 1, "a bad answer")
+	assert.EqualValues(t, 3, urgent[0].Sequence)
+	assert.Len(t, relay.due(timeAfter(2800*time.Millisecond), record), 1)
+	relay.due(timeAfter(9*time.Second), recordInTransit(8))
+	assert.Empty(t, relay.reports, "reports of roll-outs that have ended are dropped")
+}
+
+func TestPublisher_PassesOnLeases(t *testing.T) {
+	p, proxy := newTestPublisher(7), newProxyReplica()
+	p.setSynced()
+	first, _ := p.updateSince(timeAfter(0), proxy.cursor)
+	proxy.apply(first)
+	p.renewLeases(timeAfter(0), nil)
+	_, hasUpdate := p.updateSince(timeAfter(0), proxy.cursor)
+	assert.False(t, hasUpdate)
+	p.renewLeases(timeAfter(0), []state.RolloutLease{{OrderRevision: 4, Millis: 2500}})
+	second, hasUpdate := p.updateSince(timeAfter(time.Second), proxy.cursor)
+	require.True(t, hasUpdate)
+	assert.Equal(t, []state.RolloutLease{{OrderRevision: 4, Millis: 1500}}, second.RolloutLeases, "counted from the question")
+	proxy.apply(second)
+	_, hasUpdate = p.updateSince(timeAfter(time.Second), proxy.cursor)
+	assert.False(t, hasUpdate)
+	assert.Empty(t, p.leases.remaining(timeAfter(3*time.Second)))
+}
--- a/serving/operator/encoding_test.go
+++ b/serving/operator/encoding_test.go
@@ -12,5 +12,6 @@
 	encodedforms.AssertGolden(t, wireschema.JSON,
 		heartbeatResponse{},
 		errorBody{},
+		rolloutBody{},
 	)
 }
--- a/test/fake/endpoint/handler.go
+++ b/test/fake/endpoint/handler.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -129,6 +130,11 @@
 		return
 	}
 	c.setStamp()
+	if rand.Float64() < c.endpoint.options.FailureShare {
+		c.report(Completed, 0)
+		c.writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	_, err := fmt.Fprintf(c.writer, "%s answers %s %s, body %x\n", c.endpoint.options.Service, c.request.Method,
 		c.request.URL.RequestURI(), sha256.Sum256(c.body))
 	if err != nil {
--- a/test/fake/endpoint/options.go
+++ b/test/fake/endpoint/options.go
@@ -18,6 +18,7 @@
 	QueueLimit        int           // waiting requests; 0: half of the slots, at least two
 	MaxConnections    int           // from all callers together; 0: no limit
 	ProcessingTime    time.Duration // of a request without a language model
+	FailureShare      float64       // of the requests without a language model, that fail with an error of its own
 	Warmup            Warmup
 	Engine            *Engine // nil: no language model
 
--- a/test/integration/serving/endpoints_test.go
+++ b/test/integration/serving/endpoints_test.go
@@ -36,7 +36,9 @@
 // startEndpoint starts an endpoint whose requests the ledger records.
 func (c *cluster) startEndpoint(options endpoint.Options, number int, p location) *endpoint.Endpoint {
 	options.Zone = p.zone
-	options.Edition = "v1"
+	if options.Edition == "" {
+		options.Edition = "v1"
+	}
 	options.HealthPath = healthPath
 	options.ListenAddress = c.address(number, portEndpoint)
 	options.Control = c.controlAddresses()
