--- a/serving/core/run.go
+++ b/serving/core/run.go
@@ -181,6 +181,7 @@
 		Log:        c.options.Log,
 
 		IsRecentRollout: c.rollouts.isRecent,
+		CheckRollouts:   c.checkReleases,
 	}))
 	return mux
 }
--- a/serving/introspect/introspect.go
+++ b/serving/introspect/introspect.go
@@ -33,6 +33,8 @@
 	SingletonClaims []singleton.Claim `cbor:"9,keyasint,omitempty"`
 	// Learner means that the process's replica is a learner that has caught up and may become a voter.
 	Learner bool `cbor:"10,keyasint,omitempty"`
+	// Rollouts are the newest roll-outs of the services, by the record.
+	Rollouts []state.Rollout `cbor:"11,keyasint,omitempty"`
 }
 
 // Member is a member as the reporting process knows it.
@@ -50,6 +52,7 @@
 	r.Version = record.Configuration.Version
 	r.Digest = record.Configuration.Digest
 	r.Voters = record.Voters
+	r.Rollouts = record.Rollouts
 	for _, evacuation := range record.Evacuations {
 		if evacuation.Active {
 			r.Evacuated = append(r.Evacuated, evacuation.Zone)
--- a/serving/introspect/metrics.go
+++ b/serving/introspect/metrics.go
@@ -33,6 +33,11 @@
 	metrics.WriteGauge(w, "rowan_voters", uint64(len(r.Voters.Replicas)))
 	metrics.WriteGauge(w, `rowan_members{state="live"}`, uint64(len(r.Members))-down)
 	metrics.WriteGauge(w, `rowan_members{state="down"}`, down)
+	for _, each := range r.Rollouts {
+		labels := fmt.Sprintf("service=%q,target=%q", each.Service, each.Target)
+		metrics.WriteGauge(w, "rowan_rollout_state{"+labels+"}", uint64(each.State))
+		metrics.WriteGauge(w, "rowan_rollout_step{"+labels+"}", uint64(each.Step))
+	}
 	for _, each := range endpointStates {
 		count := uint64(0)
 		for _, endpoint := range r.Endpoints {
--- a/serving/operator/operator.go
+++ b/serving/operator/operator.go
@@ -83,14 +83,21 @@
 	// IsRecentRollout reports whether a roll-out, by its OrderRevision, may have been ordered so short a time ago that
 	// the order is still sent again. Nil: always.
 	IsRecentRollout func(orderRevision uint64) bool
-	Log             *zerolog.Logger
+	// CheckRollouts returns why no roll-out may begin now, errcode.RolloutReleases. Nil: one may always.
+	CheckRollouts func(ctx context.Context) error
+	Log           *zerolog.Logger
 }
 
 // New returns the handler of the control address.
 func New(options Options) http.Handler {
 	configuration := &ConfigurationResource{register: options.Register, log: options.Log}
 	evacuation := &EvacuationResource{register: options.Register, regions: options.Regions, log: options.Log}
-	rollouts := &RolloutResource{register: options.Register, isRecent: options.IsRecentRollout, log: options.Log}
+	rollouts := &RolloutResource{
+		register: options.Register,
+		isRecent: options.IsRecentRollout,
+		check:    options.CheckRollouts,
+		log:      options.Log,
+	}
 	endpoint := &EndpointResource{
 		endpoints:  options.Endpoints,
 		replicator: options.Replicator,
--- a/serving/operator/rollout.go
+++ b/serving/operator/rollout.go
@@ -65,6 +65,7 @@
 type RolloutResource struct {
 	register Register
 	isRecent func(orderRevision uint64) bool // nil: always
+	check    func(ctx context.Context) error // nil: a roll-out may always begin
 	log      *zerolog.Logger
 }
 
@@ -81,6 +82,10 @@
 	r.logOrder(event.RolloutOrdered, order).Send()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(request.Context()), changeTimeout)
 	defer cancel()
+	if err := r.checkReleases(ctx); err != nil {
+		r.respondRejected(w, order, err)
+		return
+	}
 	if err := r.register.BeginRollout(ctx, order, r.isRecentOrder); err != nil {
 		r.respondRejected(w, order, err)
 		return
@@ -91,7 +96,7 @@
 
 // respondRejected responds to an order that wasn't committed, as far as is known.
 func (r *RolloutResource) respondRejected(w http.ResponseWriter, order rollout.Order, err error) {
-	if errcode.RolloutService.Is(err) || errcode.RolloutTooEarly.Is(err) {
+	if errcode.RolloutService.Is(err) || errcode.RolloutTooEarly.Is(err) || errcode.RolloutReleases.Is(err) {
 		r.logOrder(event.RolloutRejected, order).Err(err).Send()
 		writeError(w, err)
 		return
@@ -100,6 +105,14 @@
 	writeError(w, changeError(err, errcode.ChangeInDoubt))
 }
 
+// checkReleases returns why no roll-out may begin now.
+func (r *RolloutResource) checkReleases(ctx context.Context) error {
+	if r.check == nil {
+		return nil
+	}
+	return r.check(ctx)
+}
+
 func (r *RolloutResource) isRecentOrder(orderRevision uint64) bool {
 	return r.isRecent == nil || r.isRecent(orderRevision)
 }
--- a/serving/rpc/rpc.go
+++ b/serving/rpc/rpc.go
@@ -87,6 +87,12 @@
 	return response.Msg, nil
 }
 
+// IsUnimplemented reports whether a call failed because the process, of an earlier release, doesn't serve it.
+func IsUnimplemented(err error) bool {
+	var failure *connect.Error
+	return errors.As(err, &failure) && failure.Code() == connect.CodeUnimplemented
+}
+
 // Serve registers the handler of the call. Its errors reach the caller with the code "unavailable".
 func (m Method[Request, Response]) Serve(mux *http.ServeMux,
 	handle func(context.Context, *Request) (*Response, error)) {
--- a/serving/settings/bounds.go
+++ b/serving/settings/bounds.go
@@ -66,8 +66,6 @@
 			func(p *Process) *float64 { return &p.Bounds.RetrySlack }),
 		numberSetting("bounds.exposure_share", "0.1", "Share of a service's requests that a bad software version may get during its roll-out.",
 			func(p *Process) *float64 { return &p.Bounds.ExposureShare }),
-		numberSetting("bounds.exposure_slack", "50", "Requests that it may get beyond that share.",
-			func(p *Process) *float64 { return &p.Bounds.ExposureSlack }),
 		numberSetting("bounds.cold_excess", "1.5", "Factor on the requests per second that a warming-up endpoint takes.",
 			func(p *Process) *float64 { return &p.Bounds.WarmUpExcess }),
 		numberSetting("bounds.cold_slack", "5", "Requests per second allowed beyond that.",
--- a/serving/settings/process.go
+++ b/serving/settings/process.go
@@ -77,9 +77,8 @@
 	RetrySlack      float64       `json:"RetrySlack"`
 	WarmUpExcess    float64       `json:"ColdExcess"`
 	WarmUpSlack     float64       `json:"ColdSlack"`
-	// ExposureShare of a service's requests, and ExposureSlack more, may go to a bad version during its roll-out.
+	// ExposureShare of a service's requests may go to a bad version during its roll-out.
 	ExposureShare    float64       `json:"ExposureShare"`
-	ExposureSlack    float64       `json:"ExposureSlack"`
 	Rollback         time.Duration `json:"Rollback"`
 	Evacuation       time.Duration `json:"Evacuate"`
 	Recovery         time.Duration `json:"Recovery"`
--- a/test/integration/serving/compatibility_test.go
+++ b/test/integration/serving/compatibility_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,6 +62,7 @@
 				return ""
 			})
 			changeThroughEachRelease(c)
+			c.requireRolloutIsPutOff()
 			c.ledger.check(t)
 		})
 	}
@@ -92,6 +94,26 @@
 	c.ledger.check(t)
 }
 
+// requireRolloutIsPutOff checks that no core acknowledges the order of a roll-out while one of them runs a release whose
+// records would lack it. The order may be sent again.
+func (c *cluster) requireRolloutIsPutOff() {
+	c.t.Helper()
+	order := fmt.Sprintf(`{"carrier":%q,"target":"v2","over_s":60}`, serviceStock)
+	for _, core := range c.cores {
+		request, err := http.NewRequestWithContext(c.t.Context(), http.MethodPost,
+			"http://"+core.address(portControl)+"/Editions.Begin", strings.NewReader(order))
+		require.NoError(c.t, err)
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(c.t, err)
+		_ = response.Body.Close()
+		want := http.StatusServiceUnavailable
+		if core.programs != "" {
+			want = http.StatusNotFound // that release
+		}
+		assert.Equal(c.t, want, response.StatusCode, core.name)
+	}
+}
+
 // isInFirstGroup reports whether a program belongs to firstGroup on the machine whose address ends in a number.
 func isInFirstGroup(program string, number int) bool {
 	first := firstProxyNumber
