--- a/serving/rollout/transition_test.go
+++ b/serving/rollout/transition_test.go
@@ -100,7 +100,8 @@
 			basis, _ := seen[rapid.IntRange(0, len(seen)-1).Draw(rt, "basis")].Rollout("s")
 			before, existed := record.Rollout("s")
 			var update register.Update
-			if rapid.IntRange(0, 3).Draw(rt, "kind") == 0 {
+			isOrder := rapid.IntRange(0, 3).Draw(rt, "kind") == 0
+			if isOrder {
 				target := rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(rt, "target")
 				update = Begin(orderOf(target), always, knownService)
 			} else {
@@ -113,6 +114,9 @@
 			if !existed {
 				continue
 			}
+			if !isOrder && basis.Revision != before.Revision {
+				require.Equal(rt, before, after, "a decision on an older state changes nothing")
+			}
 			require.GreaterOrEqual(rt, after.Revision, before.Revision)
 			if after.OrderRevision == before.OrderRevision {
 				require.LessOrEqual(rt, after.Step, before.Step+1)
--- a/test/integration/mutants/mutants_test.go
+++ b/test/integration/mutants/mutants_test.go
@@ -27,7 +27,7 @@
 	root, err := filepath.Abs("../../..")
 	require.NoError(t, err)
 	slots := make(chan struct{}, parallelMutants)
-	for _, m := range slices.Concat(mutants, endpointMutants) {
+	for _, m := range slices.Concat(mutants, endpointMutants, rolloutMutants) {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
--- /dev/null
+++ b/test/integration/mutants/rollouts_table_test.go
@@ -0,0 +1,82 @@
+package mutants
+
+// rolloutMutants has the guards of roll-outs.
+var rolloutMutants = []mutant{
+	{
+		name:    "a decision that is based on an older state of a roll-out is applied",
+		file:    "serving/rollout/transition.go",
+		old:     " || next.Revision != t.Revision {",
+		replace: " {",
+		pkg:     "serving/rollout", tests: "TestTransitions",
+	},
+	{
+		name:    "the order of a returned roll-out that is sent again begins it anew",
+		file:    "serving/rollout/transition.go",
+		old:     "known.State == state.RolloutReturned && !isRecent(known.OrderRevision)",
+		replace: "known.State == state.RolloutReturned",
+		pkg:     "serving/rollout", tests: "TestTransitions",
+	},
+	{
+		name:    "a returned version isn't retired",
+		file:    "serving/rollout/transition.go",
+		old:     "		next.State = state.RolloutReturned\n		next.Retire(next.Target)",
+		replace: "		next.State = state.RolloutReturned",
+		pkg:     "serving/rollout", tests: "TestTransitions",
+	},
+	{
+		name:    "a report that comes twice counts twice",
+		file:    "serving/rollout/evidence.go",
+		old:     "last.Incarnation == report.Incarnation && report.Sequence <= last.Sequence",
+		replace: "false",
+		pkg:     "serving/rollout", tests: "TestEvidence",
+	},
+	{
+		name:    "bad answers of one endpoint return a version",
+		file:    "serving/rollout/evidence.go",
+		old:     "s.Bad >= min(requiredBadEndpoints, max(live, 1)) && ",
+		replace: "",
+		pkg:     "serving/rollout", tests: "TestJudge",
+	},
+	{
+		name:    "a target gets requests without a lease",
+		file:    "serving/placement/rollouts.go",
+		old:     " || !now.Before(r.leaseUntil):",
+		replace: ":",
+		pkg:     "serving/placement", tests: "TestRollout",
+	},
+	{
+		name:    "a proxy's brake doesn't close",
+		file:    "serving/placement/rollouts.go",
+		old:     "return draw, !r.brake.isClosed(now)",
+		replace: "return draw, true",
+		pkg:     "serving/placement", tests: "TestRollout",
+	},
+	{
+		name:    "retired versions get requests",
+		file:    "serving/placement/rollouts.go",
+		old:     "found && known.IsRetired(info.SoftwareVersion)",
+		replace: "found && known.IsRetired(info.ID)",
+		pkg:     "serving/placement", tests: "TestRollout",
+	},
+	{
+		name:    "a new version gets requests before any order",
+		file:    "serving/placement/rollouts.go",
+		old:     "return p.isHeld(now, info) && !p.rollouts.versions[info.Service].unestablished",
+		replace: "return false",
+		pkg:     "serving/placement", tests: "TestRollout",
+	},
+	{
+		name:    "leases are granted after a return was decided",
+		file:    "serving/core/rollouts.go",
+		old:     " && !r.condemned[report.OrderRevision] {",
+		replace: " {",
+		pkg:     "serving/core", tests: "TestRolloutController",
+	},
+	{
+		name:    "leases are granted without a majority",
+		file:    "serving/core/rollouts.go",
+		old:     "mayGrant := r.hasQuorum() && r.hasRole()",
+		replace: "mayGrant := r.hasRole()",
+		pkg:     "serving/core", tests: "TestRolloutController",
+	},
+}
