--- a/serving/rollout/judge.go
+++ b/serving/rollout/judge.go
@@ -168,7 +168,7 @@
 		drained := len(k.evidence.reports) > 0 && k.evidence.baselineInFlight() == 0
 		due := drained || elapsed >= times.deliverBy
 		isSeen := answers > 0 || k.evidence.route(allRoutes).baseline.Answers == 0
-		if inStep >= min(minFullTime, times.rampTime*2) && due && isSeen {
+		if inStep >= times.fullTime && due && isSeen {
 			return Deliver
 		}
 	}
--- a/serving/rollout/judge_test.go
+++ b/serving/rollout/judge_test.go
@@ -27,8 +27,9 @@
 	random   *rand.Rand
 	version  version
 	baseline version
-	rate     float64 // requests a second
-	exposed  int     // requests that the target got
+	rate     float64       // requests a second
+	duration time.Duration // that the order allows
+	exposed  int           // requests that the target got
 	decided  time.Duration
 	reason   state.RolloutReason
 }
@@ -44,9 +45,9 @@
 	start := time.Unix(0, 0)
 	judge := NewJudge()
 	known := state.Rollout{Service: "s", Target: "v2", State: state.RolloutInTransit, OrderRevision: 1, Revision: 1,
-		DurationMillis: simulatedDuration.Milliseconds()}
+		DurationMillis: s.duration.Milliseconds()}
 	reports := make([]state.RolloutReport, simulatedProxies)
-	for elapsed := time.Duration(0); elapsed < simulatedDuration; elapsed += simulatedTick {
+	for elapsed := time.Duration(0); elapsed < s.duration; elapsed += simulatedTick {
 		now := start.Add(elapsed)
 		judge.Follow(now, []state.Rollout{known})
 		for proxy := range reports {
@@ -155,7 +156,7 @@
 		t.Run(test.version.name, func(t *testing.T) {
 			wrong, exposed, latest := 0, 0, time.Duration(0)
 			for seed := range uint64(seeds) {
-				s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), version: test.version, baseline: test.baseline, rate: rate}
+				s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), version: test.version, baseline: test.baseline, rate: rate, duration: simulatedDuration}
 				if delivered := s.run() == state.RolloutDelivered; delivered != test.good {
 					wrong++
 				}
