--- a/cmd/rowanctl/rollout.go
+++ b/cmd/rowanctl/rollout.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"rowanlink/internal/ctxsleep"
 	"rowanlink/serving/operator/client"
 )
 
@@ -42,19 +43,40 @@
 // showRolloutCommand shows a roll-out.
 type showRolloutCommand struct {
 	Service string `arg:"" help:"Service, as the configuration names it."`
+	Follow  bool   `help:"Show each change until the roll-out has ended, or for as long as --timeout allows."`
 }
 
+// followInterval is the time between two reads of a roll-out that is followed.
+const followInterval = time.Second
+
+// stateInTransit is the state of a roll-out that hasn't ended.
+const stateInTransit = "in_transit"
+
 // Run implements the command.
 func (c *showRolloutCommand) Run(ctx context.Context, s *session) error {
 	operator, err := s.operatorClient()
 	if err != nil {
 		return err
 	}
-	found, err := operator.Rollout(ctx, c.Service)
-	if err != nil {
-		return err
+	var shown client.Rollout
+	for {
+		found, err := operator.Rollout(ctx, c.Service)
+		if err != nil {
+			return err
+		}
+		if found.State != shown.State || found.Step != shown.Step || found.Target != shown.Target {
+			shown = found
+			if err := s.printLines(found, rolloutLines(c.Service, found)...); err != nil {
+				return err
+			}
+		}
+		if !c.Follow || found.State != stateInTransit {
+			return nil
+		}
+		if !ctxsleep.Sleep(ctx, followInterval) {
+			return errors.New("the roll-out is still in transit")
+		}
 	}
-	return s.printLines(found, rolloutLines(c.Service, found)...)
 }
 
 // rolloutLines describes a roll-out.
--- a/cmd/rowanctl/rollout_test.go
+++ b/cmd/rowanctl/rollout_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -21,11 +22,15 @@
 	require.NoError(t, (&showRolloutCommand{Service: "writer"}).Run(t.Context(), s))
 	assert.Contains(t, out.String(), "writer to v2: in_transit, step canary\n")
 
+	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	assert.ErrorContains(t, (&showRolloutCommand{Service: "writer", Follow: true}).Run(short, s), "still in transit")
+
 	register.record.SetRollout(state.Rollout{Service: "writer", Target: "v2", State: state.RolloutReturned,
 		Retired: []string{"v2"}, Verdict: state.RolloutVerdict{Reason: state.RolloutFailures, Route: "chat",
 			Target: state.AnswerCounts{Answers: 12, Failed: 5, Timed: 11, Slow: 1}, Baseline: state.AnswerCounts{Answers: 400}}})
 	out.Reset()
-	require.NoError(t, (&showRolloutCommand{Service: "writer"}).Run(t.Context(), s))
+	require.NoError(t, (&showRolloutCommand{Service: "writer", Follow: true}).Run(t.Context(), s))
 	assert.Equal(t, "writer to v2: returned\nreason: failures (chat)\ntarget: 12 answers, 5 failed; 11 timed, 1 slow\n"+
 		"versions in force: 400 answers, 0 failed; 0 timed, 0 slow\nretired: v2\n", out.String())
 }
