--- a/test/integration/serving/rollout_test.go
+++ b/test/integration/serving/rollout_test.go
@@ -13,7 +13,7 @@
 
 const (
 	// firstTargetNumber is the number in the first address of a roll-out's endpoints.
-	firstTargetNumber = 61
+	firstTargetNumber = 91
 	targetVersion     = "v2"
 	rolloutDuration   = 10 * time.Second
 	// The bounds of the rules: a bad version may get exposureShare of the service's requests and exposureSlack more.
