--- a/serving/operator/rollout.go
+++ b/serving/operator/rollout.go
@@ -41,7 +41,6 @@
 	state.RolloutFailures:     "failures",
 	state.RolloutSlow:         "slow",
 	state.RolloutNoEndpoints:  "no_endpoints",
-	state.RolloutSuperseded:   "superseded",
 	state.RolloutUnobservable: "unobservable",
 }
 
--- a/serving/rollout/judge.go
+++ b/serving/rollout/judge.go
@@ -132,6 +132,10 @@
 		return Decision{}
 	}
 	verdict.Reason = undecidedReason(capacity, suspicion)
+	if verdict.Reason == state.RolloutUnobservable && known.hasServedAll() {
+		verdict.Reason = state.RolloutNotReturned
+		return Decision{Action: Deliver, Verdict: verdict, Spread: known.evidence.spread()}
+	}
 	return Decision{Action: Return, Verdict: verdict, Spread: known.evidence.spread()}
 }
 
@@ -147,6 +151,12 @@
 	}
 }
 
+// hasServedAll reports whether the target gets all requests, and has answered some if there were any.
+func (k *judgedRollout) hasServedAll() bool {
+	all := k.evidence.route(allRoutes)
+	return k.rollout.Step == state.RolloutFull && (all.target.Answers > 0 || all.baseline.Answers == 0)
+}
+
 // scheduledAction returns what the schedule demands of a roll-out that has shown nothing bad.
 func (k *judgedRollout) scheduledAction(elapsed, inStep time.Duration, times schedule) Action {
 	answers := k.evidence.route(allRoutes).target.Answers
@@ -167,8 +177,7 @@
 	case state.RolloutFull:
 		drained := len(k.evidence.reports) > 0 && k.evidence.baselineInFlight() == 0
 		due := drained || elapsed >= times.deliverBy
-		isSeen := answers > 0 || k.evidence.route(allRoutes).baseline.Answers == 0
-		if inStep >= times.fullTime && due && isSeen {
+		if inStep >= times.fullTime && due && k.hasServedAll() {
 			return Deliver
 		}
 	}
--- a/serving/rollout/judge_test.go
+++ b/serving/rollout/judge_test.go
@@ -159,6 +159,7 @@
 				s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), version: test.version, baseline: test.baseline, rate: rate, duration: simulatedDuration}
 				if delivered := s.run() == state.RolloutDelivered; delivered != test.good {
 					wrong++
+					t.Logf("seed %d: reason %d, decided after %v", seed, s.reason, s.decided)
 				}
 				exposed += s.exposed
 				latest = max(latest, s.decided)
@@ -166,11 +167,7 @@
 			}
 			mean := float64(exposed) / seeds / bound
 			t.Logf("%d of %d wrong, mean exposure %.2f of the bound, decided after %v at most", wrong, seeds, mean, latest)
-			if test.good {
-				assert.LessOrEqual(t, wrong, seeds/200, "a good version is returned once in 200 roll-outs at most")
-			} else {
-				assert.Zero(t, wrong, "no bad version is delivered")
-			}
+			assert.Zero(t, wrong)
 			assert.Less(t, latest, simulatedDuration)
 			if !test.good {
 				assert.LessOrEqual(t, mean, test.exposure)
--- a/serving/state/rollout.go
+++ b/serving/state/rollout.go
@@ -32,7 +32,7 @@
 	RolloutFailures                   // answers of the target fail more often than those of the versions in force
 	RolloutSlow                       // answers of the target are late more often than those of the versions in force
 	RolloutNoEndpoints                // too few endpoints of the target came up in time
-	RolloutSuperseded                 // an operator has ordered another version meanwhile
+	_                                 // not in use
 	RolloutUnobservable               // the proxies didn't report enough of it in time
 )
 
