--- a/serving/agent/proxymonitor.go
+++ b/serving/agent/proxymonitor.go
@@ -19,6 +19,8 @@
 	reportedState state.MemberState // by the proxy itself
 	clientAddress string            // address where the proxy takes clients' requests, host:port
 	disconnected  bool              // the proxy reported that it leaves, and its last poll broke off
+	// supportsRollouts is what the newest poll said.
+	supportsRollouts bool
 }
 
 // pollOpened notes the start of a poll.
@@ -30,6 +32,7 @@
 	m.openPolls++
 	m.lastPoll = now
 	m.reportedState = request.State
+	m.supportsRollouts = request.SupportsRollouts
 	m.disconnected = false
 	if request.ClientAddress != "" {
 		m.clientAddress = request.ClientAddress
--- a/serving/agent/run.go
+++ b/serving/agent/run.go
@@ -14,6 +14,7 @@
 	"rowanlink/serving/metrics"
 	"rowanlink/serving/process"
 	"rowanlink/serving/register"
+	"rowanlink/serving/rollout"
 	"rowanlink/serving/rpc"
 	"rowanlink/serving/settings"
 	"rowanlink/serving/state"
@@ -59,6 +60,7 @@
 	members.SetApplier(a.awaitApplied)
 	go a.confirmRecord(runContext, register.QueryOverRPC(client))
 	go a.newRolloutReporter(client).run(runContext)
+	rollout.SupportMethod.Serve(innerMux, a.supportsRollouts)
 	introspect.Serve(innerMux, a.report)
 	innerMux.Handle(metrics.Path, metrics.Handler(introspect.MetricsWriter(a.report)))
 
--- a/serving/core/releases.go
+++ b/serving/core/releases.go
@@ -2,20 +2,27 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"rowanlink/serving/errcode"
 	"rowanlink/serving/rollout"
 	"rowanlink/serving/rpc"
-	"rowanlink/serving/state"
 )
 
-// releaseCheckTimeout bounds the check of the other core members' releases. An operator waits a second.
+// releaseCheckTimeout bounds the check of the other members' releases. An operator waits a second.
 const releaseCheckTimeout = 250 * time.Millisecond
 
-// checkReleases returns errcode.RolloutReleases if another core member runs a release that doesn't know roll-outs: a
-// record that it writes would lack them. Members that don't answer in time don't count; a member of this release that
-// runs beside it writes what it has read.
+// serveSupport serves rollout.SupportMethod.
+func serveSupport(mux *http.ServeMux) {
+	rollout.SupportMethod.Serve(mux, func(context.Context, *rollout.SupportRequest) (*rollout.SupportResponse, error) {
+		return &rollout.SupportResponse{Supported: true}, nil
+	})
+}
+
+// checkReleases returns errcode.RolloutReleases if another member runs a program of a release that doesn't know
+// roll-outs: a core member would write the record without them, and a proxy would send to the new version's endpoints as
+// to any other. Members that don't answer in time don't count.
 func (c *coreProcess) checkReleases(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, releaseCheckTimeout)
 	defer cancel()
@@ -23,24 +30,26 @@
 	results := make(chan error)
 	calls := 0
 	for _, member := range c.members.Members() {
-		if member.Role != state.RoleCore || member.Name == self {
+		if member.Name == self {
 			continue
 		}
 		calls++
-		go func() {
-			request := &rollout.ReportRequest{Observer: self}
-			_, err := rollout.ReportMethod.Call(ctx, c.client, member.Address, request)
-			if rpc.IsUnimplemented(err) {
-				err = errcode.RolloutReleases.With("%s", member.Name)
-			}
-			results <- err
-		}()
+		go func() { results <- c.checkRelease(ctx, member.Name, member.Address) }()
 	}
 	var found error
 	for range calls {
-		if err := <-results; errcode.RolloutReleases.Is(err) {
+		if err := <-results; err != nil {
 			found = err
 		}
 	}
 	return found
 }
+
+// checkRelease returns errcode.RolloutReleases if a member answers that not all programs of its machine know roll-outs.
+func (c *coreProcess) checkRelease(ctx context.Context, name, address string) error {
+	response, err := rollout.SupportMethod.Call(ctx, c.client, address, &rollout.SupportRequest{})
+	if rpc.IsUnimplemented(err) || err == nil && !response.Supported {
+		return errcode.RolloutReleases.With("%s", name)
+	}
+	return nil
+}
--- a/serving/core/rollouts.go
+++ b/serving/core/rollouts.go
@@ -73,6 +73,7 @@
 		condemned: map[uint64]bool{},
 	}
 	c.rollouts.serve(c.inner)
+	serveSupport(c.inner)
 	go c.rollouts.run(lifetime)
 }
 
--- a/serving/errcode/operator.go
+++ b/serving/errcode/operator.go
@@ -17,6 +17,6 @@
 	RolloutService        = define(421, http.StatusNotFound, "the configuration doesn't name the service of a roll-out")
 	RolloutUnknown        = define(422, http.StatusNotFound, "the service has no roll-out")
 	RolloutTooEarly       = define(423, http.StatusServiceUnavailable, "there is no configuration yet, so no service to roll out")
-	RolloutReleases       = define(424, http.StatusServiceUnavailable, "a core member runs a release that would forget the roll-out")
+	RolloutReleases       = define(424, http.StatusServiceUnavailable, "a member runs a release that doesn't know roll-outs")
 	MemberStopping        = define(419, http.StatusServiceUnavailable, "this member is shutting down")
 )
--- a/serving/proxy/agent_poller.go
+++ b/serving/proxy/agent_poller.go
@@ -97,6 +97,8 @@
 		Observations:   a.pending,
 		ClientAddress:  a.clientAddress,
 		RolloutReports: a.rolloutReports(),
+
+		SupportsRollouts: true,
 	}
 	response, err = subscription.Watch.Call(ctx, a.client, a.address, &request)
 	interrupted = a.endPoll()
--- a/serving/rollout/encoding_test.go
+++ b/serving/rollout/encoding_test.go
@@ -12,5 +12,7 @@
 	encodedforms.AssertGolden(t, wireschema.CBOR,
 		ReportRequest{},
 		ReportResponse{},
+		SupportRequest{},
+		SupportResponse{},
 	)
 }
--- a/serving/rollout/wire.go
+++ b/serving/rollout/wire.go
@@ -12,6 +12,18 @@
 // on them. Its response renews the leases without which proxies send a target nothing.
 var ReportMethod = rpc.Method[ReportRequest, ReportResponse]{Procedure: "/rowanlink.rollout.v1/Report"}
 
+// SupportMethod is the call by which a core member asks whether the programs of another member's machine carry out
+// roll-outs. Those of earlier releases don't serve it.
+var SupportMethod = rpc.Method[SupportRequest, SupportResponse]{Procedure: "/rowanlink.rollout.v1/Support"}
+
+// SupportRequest has no fields.
+type SupportRequest struct{}
+
+// SupportResponse is the answer for all programs of a machine.
+type SupportResponse struct {
+	Supported bool `cbor:"1,keyasint,omitempty"`
+}
+
 // ReportRequest has the newest report on each roll-out in transit that the agent knows of.
 type ReportRequest struct {
 	Observer string                `cbor:"1,keyasint"` // the member on the proxy's machine
--- a/serving/subscription/subscription.go
+++ b/serving/subscription/subscription.go
@@ -29,6 +29,8 @@
 	ClientAddress string `cbor:"6,keyasint,omitempty"`
 	// RolloutReports are what the proxy has observed of the roll-outs in transit.
 	RolloutReports []state.RolloutReport `cbor:"7,keyasint,omitempty"`
+	// SupportsRollouts means that the proxy carries out roll-outs. Those of earlier releases send to all endpoints alike.
+	SupportsRollouts bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Response is a delta since the cursor, or a snapshot.
--- a/test/integration/serving/compatibility_test.go
+++ b/test/integration/serving/compatibility_test.go
@@ -20,6 +20,8 @@
 	earlierRelease = "63a0b9110229a8d9e45402ca15e9b304a96f89ef"
 	// releaseBeforeDepartures is the newest release whose disks have no departed endpoints.
 	releaseBeforeDepartures = "2612fb5437ef529f2cc1d21f59b30160119c8068"
+	// releaseBeforeRollouts is the newest release that doesn't know roll-outs.
+	releaseBeforeRollouts = "643a9f8fb071e2125ba73026e96c134f428832c6"
 	// repositoryRoot is the folder of go.mod, relative to this package.
 	repositoryRoot = "../../.."
 	// servedPerPhase is how many requests are served before and after each change of the configuration.
@@ -68,6 +70,33 @@
 	}
 }
 
+// TestCompatibility_RolloutsNeedEachProgram: no roll-out begins while a single agent or proxy is of an earlier release; it
+// does once that is replaced.
+func TestCompatibility_RolloutsNeedEachProgram(t *testing.T) {
+	earlier := buildRelease(t, releaseBeforeRollouts)
+	for _, program := range []string{programAgent, programProxy} {
+		t.Run(program, func(t *testing.T) {
+			c := startClusterWithSelector(t, func(started string, number int) string {
+				if started == program && number == firstProxyNumber {
+					return earlier
+				}
+				return ""
+			})
+			c.requireRolloutIsPutOff()
+			replaced := c.agents[0]
+			if program == programProxy {
+				replaced = c.proxies[0]
+			}
+			replaced.kill()
+			replaced.programs = ""
+			replaced.start()
+			c.awaitReady()
+			c.orderRollout()
+			assert.Equal(t, "in_transit", c.readRollout().State)
+		})
+	}
+}
+
 // TestCompatibility_Disks: the present programs start on the disks of the release before the departures were on them,
 // and that release starts on theirs. Nothing acknowledged is lost by the change.
 func TestCompatibility_Disks(t *testing.T) {
