--- a/serving/agent/rollouts.go
+++ b/serving/agent/rollouts.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"rowanlink/internal/ctxsleep"
 	"rowanlink/serving/actor"
 	"rowanlink/serving/rollout"
 	"rowanlink/serving/rpc"
@@ -128,16 +129,7 @@
 
 // run reports until the context ends.
 func (r *rolloutReporter) run(ctx context.Context) {
-	ticker := time.NewTicker(rolloutTickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.tick(ctx)
-		}
-	}
+	ctxsleep.Repeat(ctx, rolloutTickInterval, func() { r.tick(ctx) })
 }
 
 // tick passes on the reports that are due.
--- a/serving/core/reconciler.go
+++ b/serving/core/reconciler.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"rowanlink/internal/ctxsleep"
 	"rowanlink/serving/event"
 	"rowanlink/serving/member"
 	"rowanlink/serving/register"
@@ -34,18 +35,11 @@
 
 // run reconciles until the context ends.
 func (r *reconciler) run(ctx context.Context) {
-	ticker := time.NewTicker(reconcileInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.logQuorum()
-			r.finishUncommitted(ctx)
-			r.repairVoters(ctx)
-		}
-	}
+	ctxsleep.Repeat(ctx, reconcileInterval, func() {
+		r.logQuorum()
+		r.finishUncommitted(ctx)
+		r.repairVoters(ctx)
+	})
 }
 
 // finishUncommitted reads the record if the own replica has accepted a proposal whose end nobody has published. The
