--- a/cmd/rowanctl/config_test.go
+++ b/cmd/rowanctl/config_test.go
@@ -50,7 +50,7 @@
 }
 
 func (f *fakeRegister) BeginRollout(_ context.Context, order rollout.Order, _ func(uint64) bool) error {
-	f.record.SetRollout(state.Rollout{Service: order.Service, Target: order.Target, State: state.RolloutInTransit})
+	f.record.SetRollout(state.Rollout{Service: order.Service, Target: order.Target, State: state.RolloutInProgress})
 	return f.err
 }
 
--- a/cmd/rowanctl/rollout.go
+++ b/cmd/rowanctl/rollout.go
@@ -49,8 +49,8 @@
 // followInterval is the time between two reads of a roll-out that is followed.
 const followInterval = time.Second
 
-// stateInTransit is the state of a roll-out that hasn't ended.
-const stateInTransit = "in_transit"
+// stateInProgress is the state of a roll-out that hasn't ended.
+const stateInProgress = "in_transit"
 
 // Run implements the command.
 func (c *showRolloutCommand) Run(ctx context.Context, s *session) error {
@@ -70,11 +70,11 @@
 				return err
 			}
 		}
-		if !c.Follow || found.State != stateInTransit {
+		if !c.Follow || found.State != stateInProgress {
 			return nil
 		}
 		if !ctxsleep.Sleep(ctx, followInterval) {
-			return errors.New("the roll-out is still in transit")
+			return errors.New("the roll-out is still in progress")
 		}
 	}
 }
--- a/cmd/rowanctl/rollout_test.go
+++ b/cmd/rowanctl/rollout_test.go
@@ -24,9 +24,9 @@
 
 	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	assert.ErrorContains(t, (&showRolloutCommand{Service: "writer", Follow: true}).Run(short, s), "still in transit")
+	assert.ErrorContains(t, (&showRolloutCommand{Service: "writer", Follow: true}).Run(short, s), "still in progress")
 
-	register.record.SetRollout(state.Rollout{Service: "writer", Target: "v2", State: state.RolloutReturned,
+	register.record.SetRollout(state.Rollout{Service: "writer", Target: "v2", State: state.RolloutRolledBack,
 		Retired: []string{"v2"}, Verdict: state.RolloutVerdict{Reason: state.RolloutFailures, Route: "chat",
 			Target: state.AnswerCounts{Answers: 12, Failed: 5, Timed: 11, Slow: 1}, Baseline: state.AnswerCounts{Answers: 400}}})
 	out.Reset()
--- a/serving/agent/rollouts.go
+++ b/serving/agent/rollouts.go
@@ -52,24 +52,24 @@
 	return bad
 }
 
-// due returns the reports to be passed on now: one for each roll-out in transit, an empty one where the proxy hasn't
+// due returns the reports to be passed on now: one for each roll-out in progress, an empty one where the proxy hasn't
 // reported yet.
 func (r *rolloutRelay) due(now time.Time, record *state.Record) (reports []state.RolloutReport) {
-	inTransit := map[uint64]bool{}
+	inProgress := map[uint64]bool{}
 	if record != nil {
 		for _, known := range record.Rollouts {
-			if known.State == state.RolloutInTransit {
-				inTransit[known.OrderRevision] = true
+			if known.State == state.RolloutInProgress {
+				inProgress[known.OrderRevision] = true
 			}
 		}
 	}
-	maps.DeleteFunc(r.reports, func(revision uint64, _ state.RolloutReport) bool { return !inTransit[revision] })
-	if len(inTransit) == 0 || !r.urgent && now.Sub(r.sentAt) < rolloutReportInterval {
+	maps.DeleteFunc(r.reports, func(revision uint64, _ state.RolloutReport) bool { return !inProgress[revision] })
+	if len(inProgress) == 0 || !r.urgent && now.Sub(r.sentAt) < rolloutReportInterval {
 		return nil
 	}
 	r.urgent = false
 	r.sentAt = now
-	for revision := range inTransit {
+	for revision := range inProgress {
 		report, found := r.reports[revision]
 		if !found {
 			report = state.RolloutReport{OrderRevision: revision}
--- a/serving/agent/rollouts_test.go
+++ b/serving/agent/rollouts_test.go
@@ -10,10 +10,10 @@
 	"rowanlink/serving/state"
 )
 
-func recordInTransit(order uint64) *state.Record {
+func recordInProgress(order uint64) *state.Record {
 	return &state.Record{Revision: order, Rollouts: []state.Rollout{
-		{Service: "s", Target: "v2", State: state.RolloutInTransit, OrderRevision: order},
-		{Service: "t", Target: "v2", State: state.RolloutReturned, OrderRevision: 1},
+		{Service: "s", Target: "v2", State: state.RolloutInProgress, OrderRevision: order},
+		{Service: "t", Target: "v2", State: state.RolloutRolledBack, OrderRevision: 1},
 	}}
 }
 
@@ -26,7 +26,7 @@
 	var relay rolloutRelay
 	assert.Empty(t, relay.due(timeAfter(0), nil))
 	assert.Empty(t, relay.due(timeAfter(0), &state.Record{}))
-	record := recordInTransit(4)
+	record := recordInProgress(4)
 	first := relay.due(timeAfter(time.Second), record)
 	require.Len(t, first, 1, "without a report of the proxy, for the lease")
 	assert.Equal(t, state.RolloutReport{OrderRevision: 4}, first[0])
@@ -41,7 +41,7 @@
 	require.Len(t, urgent, 1, "a bad answer")
 	assert.EqualValues(t, 3, urgent[0].Sequence)
 	assert.Len(t, relay.due(timeAfter(2800*time.Millisecond), record), 1)
-	relay.due(timeAfter(9*time.Second), recordInTransit(8))
+	relay.due(timeAfter(9*time.Second), recordInProgress(8))
 	assert.Empty(t, relay.reports, "reports of roll-outs that have ended are dropped")
 }
 
--- a/serving/core/rollouts.go
+++ b/serving/core/rollouts.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// rolloutInterval is the time between two looks at the roll-outs in transit. Reports of bad answers cause one too.
+	// rolloutInterval is the time between two looks at the roll-outs in progress. Reports of bad answers cause one too.
 	rolloutInterval = 250 * time.Millisecond
 	// rolloutProposalTimeout bounds the proposal of a decision.
 	rolloutProposalTimeout = 2 * time.Second
@@ -42,9 +42,9 @@
 	log       *zerolog.Logger
 	wake      chan struct{} // receives a value when bad answers were reported
 
-	mutex     sync.Mutex
-	judge     *rollout.Judge
-	condemned map[uint64]bool // by OrderRevision: a return was decided, so no lease is granted any more
+	mutex       sync.Mutex
+	judge       *rollout.Judge
+	rollingBack map[uint64]bool // by OrderRevision: a return was decided, so no lease is granted any more
 }
 
 // rolloutBounds are the operator's bounds that the controller needs.
@@ -67,10 +67,10 @@
 			acknowledgement: c.options.Settings.Bounds.Acknowledgement,
 			rollback:        c.options.Settings.Bounds.Rollback,
 		},
-		log:       c.options.Log,
-		wake:      make(chan struct{}, 1),
-		judge:     rollout.NewJudge(),
-		condemned: map[uint64]bool{},
+		log:         c.options.Log,
+		wake:        make(chan struct{}, 1),
+		judge:       rollout.NewJudge(),
+		rollingBack: map[uint64]bool{},
 	}
 	c.rollouts.serve(c.inner)
 	serveSupport(c.inner)
@@ -92,8 +92,8 @@
 	defer r.mutex.Unlock()
 	r.follow(now)
 	for _, report := range request.Reports {
-		inTransit := r.judge.AddReport(request.Observer, report)
-		if inTransit && mayGrant && !r.condemned[report.OrderRevision] {
+		inProgress := r.judge.AddReport(request.Observer, report)
+		if inProgress && mayGrant && !r.rollingBack[report.OrderRevision] {
 			response.Leases = append(response.Leases, state.RolloutLease{
 				OrderRevision: report.OrderRevision,
 				Millis:        int64(leaseShareOfRollback * float64(r.bounds.rollback.Milliseconds())),
@@ -149,14 +149,14 @@
 		rollouts := r.follow(time.Now())
 		r.mutex.Unlock()
 		for _, known := range rollouts {
-			if known.State == state.RolloutInTransit {
+			if known.State == state.RolloutInProgress {
 				r.carryOut(ctx, known)
 			}
 		}
 	}
 }
 
-// carryOut proposes the transition of a roll-out in transit that is due, if this member decides on it.
+// carryOut proposes the transition of a roll-out in progress that is due, if this member decides on it.
 func (r *rolloutController) carryOut(ctx context.Context, known state.Rollout) {
 	if !r.hasRole() || !r.hasQuorum() {
 		return
@@ -166,8 +166,8 @@
 	r.mutex.Lock()
 	decision := r.judge.Decide(now, known.OrderRevision, capacity)
 	elapsed := r.judge.Elapsed(now, known.OrderRevision)
-	if decision.Action == rollout.Return {
-		r.condemned[known.OrderRevision] = true
+	if decision.Action == rollout.RollBack {
+		r.rollingBack[known.OrderRevision] = true
 	}
 	r.mutex.Unlock()
 	if decision.Action == rollout.Hold {
@@ -207,10 +207,10 @@
 	}
 	kind := event.RolloutAdvanced
 	switch next.State {
-	case state.RolloutDelivered:
-		kind = event.RolloutDelivered
-	case state.RolloutReturned:
-		kind = event.RolloutReturned
+	case state.RolloutPromoted:
+		kind = event.RolloutPromoted
+	case state.RolloutRolledBack:
+		kind = event.RolloutRolledBack
 	}
 	logVerdict(kind.Log(r.log), &next, next.Verdict).Int("step", int(next.Step)).Send()
 }
--- a/serving/core/rollouts_test.go
+++ b/serving/core/rollouts_test.go
@@ -27,7 +27,7 @@
 func newControllerFixture() *controllerFixture {
 	log := zerolog.Nop()
 	f := &controllerFixture{role: true, connected: true, record: state.Record{Revision: 4, Rollouts: []state.Rollout{{
-		Service: "s", Target: "v2", State: state.RolloutInTransit, DurationMillis: 16_000, OrderRevision: 4, Revision: 4,
+		Service: "s", Target: "v2", State: state.RolloutInProgress, DurationMillis: 16_000, OrderRevision: 4, Revision: 4,
 	}}}}
 	f.rolloutController = &rolloutController{
 		latest:    func() (state.Record, bool) { return f.record, true },
@@ -40,11 +40,11 @@
 			}
 			return append(all, state.Endpoint{Service: "other", SoftwareVersion: "v7"})
 		},
-		bounds:    rolloutBounds{acknowledgement: 5 * time.Second, rollback: 5 * time.Second},
-		log:       &log,
-		wake:      make(chan struct{}, 1),
-		judge:     rollout.NewJudge(),
-		condemned: map[uint64]bool{},
+		bounds:      rolloutBounds{acknowledgement: 5 * time.Second, rollback: 5 * time.Second},
+		log:         &log,
+		wake:        make(chan struct{}, 1),
+		judge:       rollout.NewJudge(),
+		rollingBack: map[uint64]bool{},
 	}
 	return f
 }
@@ -97,14 +97,14 @@
 	known, _ := f.record.Rollout("s")
 	f.connected = false
 	f.carryOut(t.Context(), known)
-	assert.Equal(t, state.RolloutInTransit, f.state(), "another member decides")
+	assert.Equal(t, state.RolloutInProgress, f.state(), "another member decides")
 	f.connected, f.failing = true, true
 	f.carryOut(t.Context(), known)
-	assert.Equal(t, state.RolloutInTransit, f.state())
+	assert.Equal(t, state.RolloutInProgress, f.state())
 	assert.Empty(t, f.send(2, 12), "no lease any more, though the decision isn't committed")
 	f.failing = false
 	f.carryOut(t.Context(), known)
-	assert.Equal(t, state.RolloutReturned, f.state())
+	assert.Equal(t, state.RolloutRolledBack, f.state())
 	known, _ = f.record.Rollout("s")
 	assert.Equal(t, state.RolloutFailures, known.Verdict.Reason)
 	assert.Empty(t, f.send(3, 12))
--- a/serving/event/proxy.go
+++ b/serving/event/proxy.go
@@ -13,7 +13,7 @@
 	ConfigurationActivated  = define(520, zerolog.InfoLevel, "configuration activated")
 	ConfigurationInvalid    = define(521, zerolog.ErrorLevel, "configuration invalid; the previous one stays in force")
 	EndpointUnused          = define(522, zerolog.InfoLevel, "endpoint takes no new requests any more; none are sent to it")
-	RolloutBraked           = define(540, zerolog.WarnLevel, "answers of a roll-out's target failed at this proxy; it sends the target nothing for a while")
+	RolloutBreakerOpened    = define(540, zerolog.WarnLevel, "answers of a roll-out's target failed at this proxy; it sends the target nothing for a while")
 	ListenerFailed          = define(530, zerolog.ErrorLevel, "listener for clients failed")
 	ConnectionLimitReached  = define(531, zerolog.WarnLevel, "limit of client connections reached; new ones are closed")
 	ClientServerFailed      = define(532, zerolog.ErrorLevel, "server of client connections reports an error")
--- a/serving/operator/client/rollout.go
+++ b/serving/operator/client/rollout.go
@@ -11,7 +11,7 @@
 type Rollout struct {
 	State   string         `json:"state"` // in_transit, delivered or returned
 	Target  string         `json:"target"`
-	Step    string         `json:"step,omitempty"` // canary, load, ramp or full, while it is in transit
+	Step    string         `json:"step,omitempty"` // canary, load, ramp or full, while it is in progress
 	Verdict RolloutVerdict `json:"verdict"`
 	Retired []string       `json:"retired,omitempty"` // versions that get nothing any more
 }
--- a/serving/operator/rollout.go
+++ b/serving/operator/rollout.go
@@ -23,9 +23,9 @@
 
 // rolloutStateNames are the names of the states of roll-outs in responses.
 var rolloutStateNames = map[state.RolloutState]string{
-	state.RolloutInTransit: "in_transit",
-	state.RolloutDelivered: "delivered",
-	state.RolloutReturned:  "returned",
+	state.RolloutInProgress: "in_transit",
+	state.RolloutPromoted:   "delivered",
+	state.RolloutRolledBack: "returned",
 }
 
 // rolloutStepNames are the names of the steps in responses.
@@ -182,7 +182,7 @@
 		},
 		Retired: known.Retired,
 	}
-	if known.State == state.RolloutInTransit {
+	if known.State == state.RolloutInProgress {
 		body.Step = rolloutStepNames[known.Step]
 	}
 	return body
--- a/serving/operator/rollout_test.go
+++ b/serving/operator/rollout_test.go
@@ -66,9 +66,9 @@
 		reason       state.RolloutReason
 		name, reader string
 	}{
-		{state.RolloutInTransit, state.RolloutNotReturned, "in_transit", ""},
-		{state.RolloutDelivered, state.RolloutNotReturned, "delivered", ""},
-		{state.RolloutReturned, state.RolloutSlow, "returned", "slow"},
+		{state.RolloutInProgress, state.RolloutNoReason, "in_transit", ""},
+		{state.RolloutPromoted, state.RolloutNoReason, "delivered", ""},
+		{state.RolloutRolledBack, state.RolloutSlow, "returned", "slow"},
 	} {
 		f.register.record.SetRollout(state.Rollout{Service: "huvo11a", Target: "v2", State: test.state, Step: state.RolloutLoad,
 			Verdict: state.RolloutVerdict{Reason: test.reason, Target: state.AnswerCounts{Answers: 9, Slow: 4}}})
--- a/serving/placement/rollout_canaries.go
+++ b/serving/placement/rollout_canaries.go
@@ -20,7 +20,7 @@
 // selectCanaries excludes those endpoints of the targets that get nothing in the present step. All proxies choose the
 // same ones, so that these are about as busy as the endpoints in force are.
 func (p *Picker) selectCanaries() {
-	for _, r := range p.rollouts.inTransit {
+	for _, r := range p.rollouts.inProgress {
 		r.loadProbes = r.loadProbes[:0]
 		share := p.shareOf(r)
 		if share >= 1 {
@@ -43,7 +43,7 @@
 }
 
 // rankedByRegion returns the target's endpoints that may get requests, by region, each region's in the roll-out's order.
-func (r *rolloutInTransit) rankedByRegion() map[string][]*endpoint {
+func (r *rolloutInProgress) rankedByRegion() map[string][]*endpoint {
 	regions := map[string][]*endpoint{}
 	for _, e := range r.target.endpoints {
 		e.isLoadProbe = false
@@ -75,7 +75,7 @@
 }
 
 // shareOf returns the share of the service's requests that the target gets in the present step.
-func (p *Picker) shareOf(r *rolloutInTransit) float64 {
+func (p *Picker) shareOf(r *rolloutInProgress) float64 {
 	bound := p.options.Bounds.ExposureShare
 	switch r.info.Step {
 	case state.RolloutCanary, state.RolloutLoad:
--- a/serving/placement/rollout_draw.go
+++ b/serving/placement/rollout_draw.go
@@ -12,10 +12,10 @@
 	loadProbe *endpoint
 }
 
-// drawTarget returns the target of a roll-out in transit if the request is to go there. Retries go to the versions in
+// drawTarget returns the target of a roll-out in progress if the request is to go there. Retries go to the versions in
 // force.
 func (p *Picker) drawTarget(now time.Time, service *service, request *Request) (draw targetDraw, drawn bool) {
-	r := p.rollouts.inTransit[service.name]
+	r := p.rollouts.inProgress[service.name]
 	if r == nil || len(r.target.endpoints) == 0 {
 		return draw, false
 	}
@@ -29,7 +29,7 @@
 		return draw, false
 	}
 	if share := p.shareOf(r); share >= 1 || !request.Waited && r.draws.next() < share {
-		return draw, !r.brake.isClosed(now)
+		return draw, !r.breaker.isOpen(now)
 	}
 	draw.loadProbe = p.drawLoadProbe(now, r, request)
 	return draw, draw.loadProbe != nil
--- a/serving/placement/rollout_load_probes.go
+++ b/serving/placement/rollout_load_probes.go
@@ -18,7 +18,7 @@
 )
 
 // selectLoadProbes selects the endpoints to be loaded, the last ones of the region with the most endpoints.
-func (r *rolloutInTransit) selectLoadProbes(regions map[string][]*endpoint) {
+func (r *rolloutInProgress) selectLoadProbes(regions map[string][]*endpoint) {
 	if r.info.Step != state.RolloutLoad {
 		return
 	}
@@ -49,7 +49,7 @@
 }
 
 // drawLoadProbe returns the endpoint that is to be loaded by a request, nil for none.
-func (p *Picker) drawLoadProbe(now time.Time, r *rolloutInTransit, request *Request) *endpoint {
+func (p *Picker) drawLoadProbe(now time.Time, r *rolloutInProgress, request *Request) *endpoint {
 	if request.Waited || r.target.hasEngine() && request.PromptTokens > smallPrompt {
 		return nil
 	}
--- a/serving/placement/rollout_observations.go
+++ b/serving/placement/rollout_observations.go
@@ -22,7 +22,7 @@
 	routes    map[string]*state.RouteCounts // by name; "" for those beyond the limit
 	endpoints []state.EndpointCounts
 	hasNewBad bool // bad answers of the target that weren't reported yet
-	closings  []BrakeClosing
+	openings  []BreakerOpening
 }
 
 func newRolloutObservations() rolloutObservations {
@@ -78,10 +78,10 @@
 	}
 }
 
-// of returns the roll-out in transit that a call's answer is counted for, nil if there is none, and whether the answer
+// of returns the roll-out in progress that a call's answer is counted for, nil if there is none, and whether the answer
 // is one of the target. Before the target has endpoints there is nothing to compare.
-func (r *rollouts) of(c *call) (found *rolloutInTransit, isTarget bool) {
-	found = r.inTransit[c.endpoint.service.name]
+func (r *rollouts) of(c *call) (found *rolloutInProgress, isTarget bool) {
+	found = r.inProgress[c.endpoint.service.name]
 	if found == nil || len(found.target.endpoints) == 0 {
 		return nil, false
 	}
@@ -107,12 +107,12 @@
 
 // comparesTimes reports whether the times of answers can be compared in the present step. When all requests have gone
 // over to engines with empty caches, they are slow for that reason.
-func (r *rolloutInTransit) comparesTimes() bool {
+func (r *rolloutInProgress) comparesTimes() bool {
 	return r.info.Step != state.RolloutFull || !r.target.hasEngine()
 }
 
 // addAnswer counts an answer.
-func (r *rolloutInTransit) addAnswer(c *call, counts *state.AnswerCounts, isTarget bool) {
+func (r *rolloutInProgress) addAnswer(c *call, counts *state.AnswerCounts, isTarget bool) {
 	counts.Answers++
 	if isTarget {
 		r.observed.addAnswer(c)
@@ -120,7 +120,7 @@
 }
 
 // recordSlow counts a slow answer.
-func (r *rolloutInTransit) recordSlow(c *call, counts *state.AnswerCounts, isTarget bool) {
+func (r *rolloutInProgress) recordSlow(c *call, counts *state.AnswerCounts, isTarget bool) {
 	counts.Slow++
 	if isTarget {
 		r.observed.addBad(c)
@@ -136,7 +136,7 @@
 	switch outcome {
 	case attempt.Succeeded:
 		if isTarget && !c.isLoadProbe {
-			found.brake.recordSuccess()
+			found.breaker.recordSuccess()
 		}
 	case attempt.Failed, attempt.Broken:
 		if c.isLoadProbe && outcome == attempt.Broken {
@@ -161,7 +161,7 @@
 }
 
 // recordTargetFailure notes a failed answer of the target.
-func (r *rolloutInTransit) recordTargetFailure(now time.Time, c *call) {
+func (r *rolloutInProgress) recordTargetFailure(now time.Time, c *call) {
 	r.observed.addBad(c)
 	if c.isLoadProbe {
 		return // the endpoint's failure rate keeps this proxy from loading it further
@@ -170,33 +170,33 @@
 	if r.info.Step == state.RolloutFull {
 		threshold = fullStepFailures
 	}
-	if r.brake.recordFailure(now, threshold) {
-		r.observed.closings = append(r.observed.closings, BrakeClosing{
+	if r.breaker.recordFailure(now, threshold) {
+		r.observed.openings = append(r.observed.openings, BreakerOpening{
 			Service: r.info.Service,
 			Target:  r.info.Target,
 			Step:    r.info.Step,
-			Hold:    r.brake.closedUntil.Sub(now),
+			OpenFor: r.breaker.openUntil.Sub(now),
 		})
 	}
 }
 
-// BrakeClosing is an instance of this proxy's brake that closed.
-type BrakeClosing struct {
+// BreakerOpening says that this proxy's breaker has opened.
+type BreakerOpening struct {
 	Service string
 	Target  string
 	Step    state.RolloutStep
-	Hold    time.Duration
+	OpenFor time.Duration
 }
 
-// TakeBrakeClosings returns the closings of brakes since the last call.
-func (p *Picker) TakeBrakeClosings() (closings []BrakeClosing) {
+// TakeBreakerOpenings returns the openings of breakers since the last call.
+func (p *Picker) TakeBreakerOpenings() (openings []BreakerOpening) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for _, r := range p.rollouts.inTransit {
-		closings = append(closings, r.observed.closings...)
-		r.observed.closings = nil
+	for _, r := range p.rollouts.inProgress {
+		openings = append(openings, r.observed.openings...)
+		r.observed.openings = nil
 	}
-	return closings
+	return openings
 }
 
 // slowFirstByte returns the time to the first byte beyond which a call's answer is slow.
@@ -218,7 +218,7 @@
 
 // hasNewBadAnswers reports whether answers of a target were bad that no report has counted yet.
 func (r *rollouts) hasNewBadAnswers() bool {
-	for _, found := range r.inTransit {
+	for _, found := range r.inProgress {
 		if found.observed.hasNewBad {
 			return true
 		}
@@ -226,11 +226,11 @@
 	return false
 }
 
-// RolloutReports returns what this proxy has observed of the roll-outs in transit.
+// RolloutReports returns what this proxy has observed of the roll-outs in progress.
 func (p *Picker) RolloutReports() (reports []state.RolloutReport) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for name, r := range p.rollouts.inTransit {
+	for name, r := range p.rollouts.inProgress {
 		r.observed.sequence++
 		r.observed.hasNewBad = false
 		report := state.RolloutReport{
--- a/serving/placement/rollouts_test.go
+++ b/serving/placement/rollouts_test.go
@@ -32,9 +32,9 @@
 func newRolloutFixture(t *testing.T) *rolloutFixture {
 	f := &rolloutFixture{t: t, pickerFixture: newFixture(t, "e1", versionedEndpoints("v1", 30)...)}
 	f.SetBounds(rolloutBounds())
-	f.rollout = state.Rollout{Service: "model", Target: "v2", State: state.RolloutInTransit, OrderRevision: 2, Revision: 2}
+	f.rollout = state.Rollout{Service: "model", Target: "v2", State: state.RolloutInProgress, OrderRevision: 2, Revision: 2}
 	f.snapshot.Endpoints = append(f.snapshot.Endpoints, versionedEndpoints("v2", 30)...)
-	f.setRollout(state.RolloutInTransit, state.RolloutCanary)
+	f.setRollout(state.RolloutInProgress, state.RolloutCanary)
 	return f
 }
 
@@ -93,7 +93,7 @@
 		{state.RolloutFull, 1000, 1000, 3, 30},
 	} {
 		f := newRolloutFixture(t)
-		f.setRollout(state.RolloutInTransit, test.step)
+		f.setRollout(state.RolloutInProgress, test.step)
 		requests, endpoints := f.send(1000, attempt.Succeeded)
 		assert.GreaterOrEqual(t, requests["v2"], test.least, "step %d", test.step)
 		assert.LessOrEqual(t, requests["v2"], test.most, "step %d", test.step)
@@ -104,15 +104,15 @@
 
 func TestRollout_LoadsEndpoints(t *testing.T) {
 	f := newRolloutFixture(t)
-	f.setRollout(state.RolloutInTransit, state.RolloutLoad)
+	f.setRollout(state.RolloutInProgress, state.RolloutLoad)
 	requests, _ := f.send(40, attempt.Succeeded)
 	assert.Greater(t, requests["v2"], 35, "nearly all requests with short prompts")
 	requests, _ = f.send(1000, attempt.Succeeded)
 	assert.Less(t, requests["v2"], 150, "this proxy's part of the calls that may load two endpoints, and the canaries")
 	f = newRolloutFixture(t)
-	f.setRollout(state.RolloutInTransit, state.RolloutLoad)
+	f.setRollout(state.RolloutInProgress, state.RolloutLoad)
 	var probes []state.Load
-	for _, probe := range f.rollouts.inTransit["model"].loadProbes {
+	for _, probe := range f.rollouts.inProgress["model"].loadProbes {
 		probes = append(probes, state.Load{EndpointID: probe.info.ID, Running: 80, Measurement: 1})
 	}
 	require.Len(t, probes, loadProbes)
@@ -127,19 +127,19 @@
 
 func TestRollout_NothingWithoutALease(t *testing.T) {
 	f := newRolloutFixture(t)
-	f.setRollout(state.RolloutInTransit, state.RolloutFull)
+	f.setRollout(state.RolloutInProgress, state.RolloutFull)
 	f.now = f.now.Add(59 * time.Second)
 	requests, _ := f.send(100, attempt.Succeeded)
 	assert.Equal(t, 51, requests["v1"], "the lease ends with the fiftieth: out of touch, the target gets nothing more")
 }
 
-func TestRollout_BrakeNeedsNoCore(t *testing.T) {
+func TestRollout_BreakerNeedsNoCore(t *testing.T) {
 	f := newRolloutFixture(t)
 	requests, _ := f.send(500, attempt.Failed) // ten seconds
 	assert.LessOrEqual(t, requests["v2"], 4, "each failed answer stops the target for longer")
 	assert.Positive(t, requests["v2"])
-	closings := f.TakeBrakeClosings()
-	assert.Len(t, closings, requests["v2"])
+	openings := f.TakeBreakerOpenings()
+	assert.Len(t, openings, requests["v2"])
 	pending, urgent := f.PendingObservations()
 	assert.True(t, pending && urgent, "a failed answer is reported at once")
 	report := f.RolloutReports()[0]
@@ -151,11 +151,11 @@
 
 func TestRollout_Ended(t *testing.T) {
 	f := newRolloutFixture(t)
-	f.setRollout(state.RolloutReturned, state.RolloutCanary, "v2")
+	f.setRollout(state.RolloutRolledBack, state.RolloutCanary, "v2")
 	requests, _ := f.send(300, attempt.Succeeded)
 	assert.Zero(t, requests["v2"])
 	f = newRolloutFixture(t)
-	f.setRollout(state.RolloutDelivered, state.RolloutFull, "v1")
+	f.setRollout(state.RolloutPromoted, state.RolloutFull, "v1")
 	requests, _ = f.send(300, attempt.Succeeded)
 	assert.Zero(t, requests["v1"])
 	assert.Empty(t, f.RolloutReports())
@@ -163,7 +163,7 @@
 
 func TestRollout_RetriesAndResumedStreams(t *testing.T) {
 	f := newRolloutFixture(t)
-	f.setRollout(state.RolloutInTransit, state.RolloutFull)
+	f.setRollout(state.RolloutInProgress, state.RolloutFull)
 	request := f.shortRequest("urgent", 1)
 	request.TriedEndpoints = []string{"v2-3"}
 	choice, _ := f.Pick(f.now, request)
@@ -174,7 +174,7 @@
 	request.Version = "v1"
 	choice, _ = f.Pick(f.now, request)
 	assert.Equal(t, "v1", choice.Endpoint.SoftwareVersion)
-	f.setRollout(state.RolloutDelivered, state.RolloutFull, "v1")
+	f.setRollout(state.RolloutPromoted, state.RolloutFull, "v1")
 	_, decision := f.Pick(f.now, request)
 	assert.Equal(t, Reject, decision.Kind, "no endpoint of its version is left")
 }
--- a/serving/proxy/monitor.go
+++ b/serving/proxy/monitor.go
@@ -35,12 +35,12 @@
 		p.picker.ReportUnacknowledged(now, ids)
 	}
 	p.picker.SetRoundTrips(p.pool.RoundTrips())
-	for _, closing := range p.picker.TakeBrakeClosings() {
-		event.RolloutBraked.Log(p.log).
-			Str("service", closing.Service).
-			Str("target", closing.Target).
-			Int("step", int(closing.Step)).
-			Dur("hold_ms", closing.Hold).
+	for _, opening := range p.picker.TakeBreakerOpenings() {
+		event.RolloutBreakerOpened.Log(p.log).
+			Str("service", opening.Service).
+			Str("target", opening.Target).
+			Int("step", int(opening.Step)).
+			Dur("open_ms", opening.OpenFor).
 			Send()
 	}
 	pending, urgent := p.picker.PendingObservations()
--- a/serving/rollout/answers.go
+++ b/serving/rollout/answers.go
@@ -27,7 +27,7 @@
 }
 
 // suspicion returns the reason for which the next step has to wait for more answers: the sum is high, and all answers
-// together are nearer to a degraded version than to the baseline. It returns RolloutNotReturned if there is none.
+// together are nearer to a degraded version than to the baseline. It returns RolloutNoReason if there is none.
 func (r *routeEvidence) suspicion(share float64) state.RolloutReason {
 	failed := float64(r.target.Failed) > float64(r.target.Answers)*(r.toleratedFailures()+failureDegradation/2)
 	late := float64(r.target.Slow) > float64(r.target.Timed)*(r.toleratedSlow()+slowDegradation/2)
@@ -37,11 +37,11 @@
 	case late && r.slow.suspicious(share):
 		return state.RolloutSlow
 	default:
-		return state.RolloutNotReturned
+		return state.RolloutNoReason
 	}
 }
 
-// reason returns why the target counts as worse; RolloutNotReturned if it doesn't.
+// reason returns why the target counts as worse; RolloutNoReason if it doesn't.
 func (r *routeEvidence) reason() state.RolloutReason {
 	switch {
 	case r.failures.alarmed():
@@ -49,7 +49,7 @@
 	case r.slow.alarmed():
 		return state.RolloutSlow
 	default:
-		return state.RolloutNotReturned
+		return state.RolloutNoReason
 	}
 }
 
--- a/serving/rollout/evidence.go
+++ b/serving/rollout/evidence.go
@@ -99,11 +99,11 @@
 		return state.RolloutVerdict{Reason: state.RolloutFailures, Target: e.probes.counts, Baseline: all.baseline}
 	}
 	if spread.isOfVersion(live) {
-		if reason := all.reason(); reason != state.RolloutNotReturned {
+		if reason := all.reason(); reason != state.RolloutNoReason {
 			return state.RolloutVerdict{Reason: reason, Target: all.target, Baseline: all.baseline}
 		}
 		for name, found := range e.routes {
-			if reason := found.reason(); reason != state.RolloutNotReturned {
+			if reason := found.reason(); reason != state.RolloutNoReason {
 				return state.RolloutVerdict{
 					Reason: reason, Route: name, Target: found.target, Baseline: found.baseline,
 				}
@@ -113,18 +113,18 @@
 	return state.RolloutVerdict{Target: all.target, Baseline: all.baseline}
 }
 
-// suspicion returns the reason for which a roll-out isn't advanced for now; RolloutNotReturned if there is none. share is
+// suspicion returns the reason for which a roll-out isn't advanced for now; RolloutNoReason if there is none. share is
 // that of the test's threshold which is needed for it.
 func (e *evidence) suspicion(share float64) state.RolloutReason {
 	if e.probes.failures.suspicious(share) {
 		return state.RolloutFailures
 	}
 	for _, found := range e.routes {
-		if reason := found.suspicion(share); reason != state.RolloutNotReturned {
+		if reason := found.suspicion(share); reason != state.RolloutNoReason {
 			return reason
 		}
 	}
-	return state.RolloutNotReturned
+	return state.RolloutNoReason
 }
 
 // baselineInFlight returns the number of calls at endpoints of the versions in force.
--- a/serving/rollout/explore_test.go
+++ b/serving/rollout/explore_test.go
@@ -37,7 +37,7 @@
 		}
 	}
 	for member, view := range w.views {
-		for _, action := range []Action{Advance, Deliver, Return} {
+		for _, action := range []Action{Advance, Promote, RollBack} {
 			transition := Transition{Service: "s", Revision: view.Revision, Decision: Decision{Action: action}, Replaced: []string{"v1"}}
 			next = append(next, w.change(transition.Apply))
 		}
@@ -91,18 +91,18 @@
 	if !exists {
 		return
 	}
-	require.Equal(t, is.State == state.RolloutReturned, is.IsRetired(is.Target), "the target is retired once it is returned")
+	require.Equal(t, is.State == state.RolloutRolledBack, is.IsRetired(is.Target), "the target is retired once it is rolled back")
 	if is.Revision == was.Revision {
 		require.Equal(t, was, is)
 		return
 	}
 	if is.OrderRevision != was.OrderRevision {
-		require.Equal(t, state.RolloutInTransit, is.State)
+		require.Equal(t, state.RolloutInProgress, is.State)
 		require.Equal(t, state.RolloutCanary, is.Step, "an order begins with the canaries")
-		require.True(t, !existed || was.State != state.RolloutInTransit || is.IsRetired(was.Target), "the former target gets nothing")
+		require.True(t, !existed || was.State != state.RolloutInProgress || is.IsRetired(was.Target), "the former target gets nothing")
 		return
 	}
-	require.Equal(t, state.RolloutInTransit, was.State, "an end is final")
-	require.True(t, is.State != state.RolloutDelivered || was.Step == state.RolloutFull, "delivered after the full step only")
+	require.Equal(t, state.RolloutInProgress, was.State, "an end is final")
+	require.True(t, is.State != state.RolloutPromoted || was.Step == state.RolloutFull, "promoted after the full step only")
 	require.LessOrEqual(t, is.Step, was.Step+1, "no step is skipped")
 }
--- a/serving/rollout/judge.go
+++ b/serving/rollout/judge.go
@@ -6,15 +6,15 @@
 	"rowanlink/serving/state"
 )
 
-// Action is what a judge decides to do with a roll-out in transit.
+// Action is what a judge decides to do with a roll-out in progress.
 type Action uint8
 
 // The actions.
 const (
 	Hold Action = iota // nothing yet
 	Advance
-	Deliver
-	Return
+	Promote
+	RollBack
 )
 
 // Decision is an action with what it rests on.
@@ -39,7 +39,7 @@
 	return c.WarmedUp > 0 && float64(c.WarmedUp) >= minCapacityShare*float64(c.Baseline)
 }
 
-// Judge decides on the roll-outs in transit. Each core member has one and lets it follow the committed record, also
+// Judge decides on the roll-outs in progress. Each core member has one and lets it follow the committed record, also
 // while another member acts: a judge measures the time since it has first seen a roll-out. It isn't safe for concurrent
 // use.
 type Judge struct {
@@ -99,11 +99,11 @@
 	return now.Sub(known.orderedAt)
 }
 
-// AddReport takes a proxy's report and reports whether the roll-out is known and in transit, so that the proxy may go on
+// AddReport takes a proxy's report and reports whether the roll-out is known and in progress, so that the proxy may go on
 // with it.
-func (j *Judge) AddReport(observer string, report state.RolloutReport) (inTransit bool) {
+func (j *Judge) AddReport(observer string, report state.RolloutReport) (inProgress bool) {
 	known := j.cases[report.OrderRevision]
-	if known == nil || known.rollout.State != state.RolloutInTransit {
+	if known == nil || known.rollout.State != state.RolloutInProgress {
 		return false
 	}
 	known.evidence.add(observer, report)
@@ -113,38 +113,38 @@
 // Decide decides on a roll-out, by its OrderRevision.
 func (j *Judge) Decide(now time.Time, orderRevision uint64, capacity Capacity) Decision {
 	known := j.cases[orderRevision]
-	if known == nil || known.rollout.State != state.RolloutInTransit {
+	if known == nil || known.rollout.State != state.RolloutInProgress {
 		return Decision{}
 	}
 	verdict := known.evidence.verdict(capacity.Target)
-	if verdict.Reason != state.RolloutNotReturned {
-		return Decision{Action: Return, Verdict: verdict, Spread: known.evidence.spread()}
+	if verdict.Reason != state.RolloutNoReason {
+		return Decision{Action: RollBack, Verdict: verdict, Spread: known.evidence.spread()}
 	}
 	elapsed := now.Sub(known.orderedAt)
 	times := newSchedule(time.Duration(known.rollout.DurationMillis) * time.Millisecond)
 	suspicion := known.evidence.suspicion(times.suspicionShare(elapsed))
-	if capacity.suffices() && suspicion == state.RolloutNotReturned {
+	if capacity.suffices() && suspicion == state.RolloutNoReason {
 		if action := known.scheduledAction(elapsed, now.Sub(known.changedAt), times); action != Hold {
 			return Decision{Action: action, Verdict: verdict, Spread: known.evidence.spread()}
 		}
 	}
-	if elapsed < times.returnBy {
+	if elapsed < times.rollBackBy {
 		return Decision{}
 	}
 	verdict.Reason = undecidedReason(capacity, suspicion)
 	if verdict.Reason == state.RolloutUnobservable && known.hasServedAll() {
-		verdict.Reason = state.RolloutNotReturned
-		return Decision{Action: Deliver, Verdict: verdict, Spread: known.evidence.spread()}
+		verdict.Reason = state.RolloutNoReason
+		return Decision{Action: Promote, Verdict: verdict, Spread: known.evidence.spread()}
 	}
-	return Decision{Action: Return, Verdict: verdict, Spread: known.evidence.spread()}
+	return Decision{Action: RollBack, Verdict: verdict, Spread: known.evidence.spread()}
 }
 
-// undecidedReason returns why a roll-out couldn't be delivered in time.
+// undecidedReason returns why a roll-out couldn't be promoted in time.
 func undecidedReason(capacity Capacity, suspicion state.RolloutReason) state.RolloutReason {
 	switch {
 	case !capacity.suffices():
 		return state.RolloutNoEndpoints
-	case suspicion != state.RolloutNotReturned:
+	case suspicion != state.RolloutNoReason:
 		return suspicion
 	default:
 		return state.RolloutUnobservable
@@ -176,9 +176,9 @@
 		}
 	case state.RolloutFull:
 		drained := len(k.evidence.reports) > 0 && k.evidence.baselineInFlight() == 0
-		due := drained || elapsed >= times.deliverBy
+		due := drained || elapsed >= times.promoteBy
 		if inStep >= times.fullTime && due && k.hasServedAll() {
-			return Deliver
+			return Promote
 		}
 	}
 	return Hold
--- a/serving/rollout/judge_test.go
+++ b/serving/rollout/judge_test.go
@@ -44,7 +44,7 @@
 func (s *simulation) run() state.RolloutState {
 	start := time.Unix(0, 0)
 	judge := NewJudge()
-	known := state.Rollout{Service: "s", Target: "v2", State: state.RolloutInTransit, OrderRevision: 1, Revision: 1,
+	known := state.Rollout{Service: "s", Target: "v2", State: state.RolloutInProgress, OrderRevision: 1, Revision: 1,
 		DurationMillis: s.duration.Milliseconds()}
 	reports := make([]state.RolloutReport, simulatedProxies)
 	for elapsed := time.Duration(0); elapsed < s.duration; elapsed += simulatedTick {
@@ -61,7 +61,7 @@
 			continue
 		}
 		known, _ = next.Rollout("s")
-		if known.State != state.RolloutInTransit {
+		if known.State != state.RolloutInProgress {
 			s.decided, s.reason = elapsed, known.Verdict.Reason
 			return known.State
 		}
@@ -157,7 +157,7 @@
 			wrong, exposed, latest := 0, 0, time.Duration(0)
 			for seed := range uint64(seeds) {
 				s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), version: test.version, baseline: test.baseline, rate: rate, duration: simulatedDuration}
-				if delivered := s.run() == state.RolloutDelivered; delivered != test.good {
+				if promoted := s.run() == state.RolloutPromoted; promoted != test.good {
 					wrong++
 					t.Logf("seed %d: reason %d, decided after %v", seed, s.reason, s.decided)
 				}
@@ -206,7 +206,7 @@
 
 func TestJudge_NeedsEndpointsAndSeveralBadOnes(t *testing.T) {
 	now := time.Unix(0, 0)
-	known := state.Rollout{Service: "s", Target: "v2", State: state.RolloutInTransit, OrderRevision: 1, Revision: 1, DurationMillis: 10_000}
+	known := state.Rollout{Service: "s", Target: "v2", State: state.RolloutInProgress, OrderRevision: 1, Revision: 1, DurationMillis: 10_000}
 	judge := NewJudge()
 	judge.Follow(now, []state.Rollout{known})
 	failing := state.AnswerCounts{Answers: 20, Failed: 15}
@@ -214,14 +214,14 @@
 	assert.False(t, judge.AddReport("p", state.RolloutReport{OrderRevision: 9}), "an unknown roll-out gets no lease")
 	many := Capacity{Target: 10, WarmedUp: 10, Baseline: 10}
 	assert.Equal(t, Hold, judge.Decide(now, 1, many).Action, "two endpoints may have a fault of their own")
-	assert.Equal(t, Return, judge.Decide(now, 1, Capacity{Target: 2, WarmedUp: 2, Baseline: 2}).Action)
+	assert.Equal(t, RollBack, judge.Decide(now, 1, Capacity{Target: 2, WarmedUp: 2, Baseline: 2}).Action)
 
 	judge = NewJudge()
 	judge.Follow(now, []state.Rollout{known})
 	few := Capacity{Target: 4, WarmedUp: 4, Baseline: 10}
 	assert.Equal(t, Hold, judge.Decide(now.Add(8*time.Second), 1, few).Action)
 	ended := judge.Decide(now.Add(9500*time.Millisecond), 1, few)
-	assert.Equal(t, Return, ended.Action)
+	assert.Equal(t, RollBack, ended.Action)
 	assert.Equal(t, state.RolloutNoEndpoints, ended.Verdict.Reason)
 }
 
@@ -229,7 +229,7 @@
 func TestJudge_TakesOver(t *testing.T) {
 	now := time.Unix(0, 0)
 	judge := NewJudge()
-	judge.Follow(now, []state.Rollout{{State: state.RolloutInTransit, OrderRevision: 3, Revision: 5, ElapsedMillis: 4000, DurationMillis: 12_000}})
+	judge.Follow(now, []state.Rollout{{State: state.RolloutInProgress, OrderRevision: 3, Revision: 5, ElapsedMillis: 4000, DurationMillis: 12_000}})
 	assert.Equal(t, 6*time.Second, judge.Elapsed(now.Add(2*time.Second), 3))
 	assert.Zero(t, judge.Elapsed(now, 4))
 	judge.Follow(now, nil)
--- a/serving/rollout/schedule.go
+++ b/serving/rollout/schedule.go
@@ -8,45 +8,45 @@
 	rampBeginShare = 0.55
 	rampShare      = 0.16
 	fullShare      = 0.1
-	// deliveryShare: the roll-out ends by then, so that a late start or a change of the core leaves time. An undecided
-	// one is returned by returnShare.
-	deliveryShare = 0.86
-	returnShare   = 0.93
+	// promoteShare: the roll-out ends by then, so that a late start or a change of the core leaves time. An undecided
+	// one is rolled back by rollBackShare.
+	promoteShare  = 0.86
+	rollBackShare = 0.93
 )
 
 // Bounds of these times: where an order allows much time, late faults are looked for as long as possible.
 const (
-	minAfterRamp     = 7 * time.Second
-	afterRampShare   = 0.2
-	maxAfterDelivery = 3 * time.Second
-	maxAfterReturn   = 1500 * time.Millisecond
-	shortRampTime    = 2500 * time.Millisecond
-	longRampShare    = 0.02
-	minRampTime      = 800 * time.Millisecond
-	maxFullTime      = 1500 * time.Millisecond // answers that are worse under load need some time to be seen
-	rampAnswers      = 60                      // the number of the target's answers after which the ramp may end early
+	minAfterRamp      = 7 * time.Second
+	afterRampShare    = 0.2
+	maxAfterPromotion = 3 * time.Second
+	maxAfterRollBack  = 1500 * time.Millisecond
+	shortRampTime     = 2500 * time.Millisecond
+	longRampShare     = 0.02
+	minRampTime       = 800 * time.Millisecond
+	maxFullTime       = 1500 * time.Millisecond // answers that are worse under load need some time to be seen
+	rampAnswers       = 60                      // the number of the target's answers after which the ramp may end early
 )
 
 // schedule has the times of a roll-out's steps. Moments count from the order.
 type schedule struct {
-	loadAt    time.Duration
-	rampAt    time.Duration
-	rampTime  time.Duration // length of the ramp, unless enough answers allow an earlier end
-	fullTime  time.Duration // least length of the full step
-	deliverBy time.Duration
-	returnBy  time.Duration
+	loadAt     time.Duration
+	rampAt     time.Duration
+	rampTime   time.Duration // length of the ramp, unless enough answers allow an earlier end
+	fullTime   time.Duration // least length of the full step
+	promoteBy  time.Duration
+	rollBackBy time.Duration
 }
 
 // newSchedule returns the schedule of an order that is to be done within a duration.
 func newSchedule(duration time.Duration) schedule {
 	afterRamp := max(minAfterRamp, share(duration, afterRampShare))
 	return schedule{
-		loadAt:    share(duration, loadBeginShare),
-		rampAt:    max(share(duration, rampBeginShare), duration-afterRamp),
-		rampTime:  min(share(duration, rampShare), max(shortRampTime, share(duration, longRampShare))),
-		fullTime:  min(share(duration, fullShare), maxFullTime),
-		deliverBy: max(share(duration, deliveryShare), duration-maxAfterDelivery),
-		returnBy:  max(share(duration, returnShare), duration-maxAfterReturn),
+		loadAt:     share(duration, loadBeginShare),
+		rampAt:     max(share(duration, rampBeginShare), duration-afterRamp),
+		rampTime:   min(share(duration, rampShare), max(shortRampTime, share(duration, longRampShare))),
+		fullTime:   min(share(duration, fullShare), maxFullTime),
+		promoteBy:  max(share(duration, promoteShare), duration-maxAfterPromotion),
+		rollBackBy: max(share(duration, rollBackShare), duration-maxAfterRollBack),
 	}
 }
 
--- a/serving/rollout/schedule_test.go
+++ b/serving/rollout/schedule_test.go
@@ -11,23 +11,23 @@
 )
 
 // TestSchedule_LeavesTimeForEachStep: whatever time an order allows, the ramp and the full step are over before a good
-// version would be returned as undecided.
+// version would be rolled back as undecided.
 func TestSchedule_LeavesTimeForEachStep(t *testing.T) {
 	for _, duration := range []time.Duration{time.Second, 8 * time.Second, 16 * time.Second, time.Minute, 2 * time.Minute, 15 * time.Minute, 24 * time.Hour} {
 		s := newSchedule(duration)
 		fullAt := s.rampAt + s.rampTime
 		assert.Less(t, s.loadAt, s.rampAt, "%v", duration)
-		assert.Less(t, fullAt, s.deliverBy, "%v", duration)
-		assert.Less(t, fullAt+s.fullTime, s.returnBy, "%v", duration)
-		assert.Less(t, s.deliverBy, s.returnBy, "%v", duration)
-		assert.Less(t, s.returnBy, duration, "%v", duration)
+		assert.Less(t, fullAt, s.promoteBy, "%v", duration)
+		assert.Less(t, fullAt+s.fullTime, s.rollBackBy, "%v", duration)
+		assert.Less(t, s.promoteBy, s.rollBackBy, "%v", duration)
+		assert.Less(t, s.rollBackBy, duration, "%v", duration)
 	}
 }
 
 func TestJudge_LongAndShortRollouts(t *testing.T) {
 	for _, duration := range []time.Duration{6 * time.Second, time.Minute, 5 * time.Minute} {
 		s := &simulation{random: rand.New(rand.NewPCG(1, 1)), rate: 100, duration: duration}
-		assert.Equal(t, state.RolloutDelivered, s.run(), "%v", duration)
+		assert.Equal(t, state.RolloutPromoted, s.run(), "%v", duration)
 		assert.Less(t, s.decided, duration)
 	}
 }
--- a/serving/rollout/transition.go
+++ b/serving/rollout/transition.go
@@ -16,7 +16,7 @@
 
 // Begin returns an update that begins the ordered roll-out. An order that is being carried out, or was, is no change.
 //
-// isRecent reports whether a roll-out that was returned had been ordered so short a time ago that the order may be the
+// isRecent reports whether a roll-out that was rolled back had been ordered so short a time ago that the order may be the
 // same one, sent again. It gets the roll-out's OrderRevision. checkService returns why the configuration has no such
 // service; the update is rejected with that error.
 func Begin(order Order, isRecent func(orderRevision uint64) bool, checkService func(state.Configuration) error) register.Update {
@@ -28,13 +28,13 @@
 		if err := checkService(record.Configuration); err != nil {
 			return record, err
 		}
-		if found && known.State == state.RolloutInTransit {
+		if found && known.State == state.RolloutInProgress {
 			known.Retire(known.Target)
 		}
 		next := state.Rollout{
 			Service:        order.Service,
 			Target:         order.Target,
-			State:          state.RolloutInTransit,
+			State:          state.RolloutInProgress,
 			Step:           state.RolloutCanary,
 			DurationMillis: order.Duration.Milliseconds(),
 			OrderRevision:  record.Revision + 1,
@@ -48,7 +48,7 @@
 
 // mayBeginAgain reports whether an order for the target of an earlier roll-out is a new one.
 func mayBeginAgain(known *state.Rollout, isRecent func(orderRevision uint64) bool) bool {
-	return known.State == state.RolloutReturned && !isRecent(known.OrderRevision)
+	return known.State == state.RolloutRolledBack && !isRecent(known.OrderRevision)
 }
 
 // withoutVersion returns a copy of the list without a version.
@@ -61,20 +61,20 @@
 	return others
 }
 
-// Transition is a proposed change of a roll-out in transit.
+// Transition is a proposed change of a roll-out in progress.
 type Transition struct {
 	Service  string
 	Revision uint64 // of the roll-out that the change is based on
 	Elapsed  time.Duration
 	Decision Decision
-	// Replaced are the software versions that a delivery retires.
+	// Replaced are the software versions that a promotion retires.
 	Replaced []string
 }
 
 // Apply is the register.Update of the transition. If the roll-out was changed since Revision, it is no change.
 func (t Transition) Apply(record state.Record) (state.Record, error) {
 	next, found := record.Rollout(t.Service)
-	if !found || next.State != state.RolloutInTransit || next.Revision != t.Revision {
+	if !found || next.State != state.RolloutInProgress || next.Revision != t.Revision {
 		return record, register.ErrNoChange
 	}
 	switch t.Decision.Action {
@@ -83,17 +83,17 @@
 			return record, register.ErrNoChange
 		}
 		next.Step++
-	case Deliver:
+	case Promote:
 		if next.Step != state.RolloutFull {
 			return record, register.ErrNoChange
 		}
-		next.State = state.RolloutDelivered
+		next.State = state.RolloutPromoted
 		for _, version := range t.Replaced {
 			next.Retire(version)
 		}
 		next.Retired = withoutVersion(next.Retired, next.Target)
-	case Return:
-		next.State = state.RolloutReturned
+	case RollBack:
+		next.State = state.RolloutRolledBack
 		next.Retire(next.Target)
 	default:
 		return record, register.ErrNoChange
--- a/serving/rollout/transition_test.go
+++ b/serving/rollout/transition_test.go
@@ -45,13 +45,13 @@
 }
 
 func TestTransitions(t *testing.T) {
-	inTransit := apply(t, state.Record{Revision: 4}, Begin(orderOf("v2"), never, knownService))
-	known, _ := inTransit.Rollout("s")
-	assert.Equal(t, state.Rollout{Service: "s", Target: "v2", State: state.RolloutInTransit, DurationMillis: 12000,
+	inProgress := apply(t, state.Record{Revision: 4}, Begin(orderOf("v2"), never, knownService))
+	known, _ := inProgress.Rollout("s")
+	assert.Equal(t, state.Rollout{Service: "s", Target: "v2", State: state.RolloutInProgress, DurationMillis: 12000,
 		OrderRevision: 5, Revision: 5}, known)
-	full := decide(t, decide(t, decide(t, inTransit, Advance), Advance), Advance)
-	delivered := decide(t, full, Deliver, "v1", "v2")
-	returned := decide(t, inTransit, Return)
+	full := decide(t, decide(t, decide(t, inProgress, Advance), Advance), Advance)
+	promoted := decide(t, full, Promote, "v1", "v2")
+	rolledBack := decide(t, inProgress, RollBack)
 
 	for _, test := range []struct {
 		name    string
@@ -61,19 +61,19 @@
 		step    state.RolloutStep
 		retired []string
 	}{
-		{"sent again", apply(t, inTransit, Begin(orderOf("v2"), always, knownService)), "v2", state.RolloutInTransit, 0, nil},
-		{"sent again with another time", apply(t, inTransit, Begin(Order{Service: "s", Target: "v2", Duration: 1}, never, knownService)), "v2", state.RolloutInTransit, 0, nil},
-		{"another target", apply(t, inTransit, Begin(orderOf("v3"), always, knownService)), "v3", state.RolloutInTransit, 0, []string{"v2"}},
-		{"advanced to the end", full, "v2", state.RolloutInTransit, state.RolloutFull, nil},
-		{"advanced beyond", decide(t, full, Advance), "v2", state.RolloutInTransit, state.RolloutFull, nil},
-		{"delivered too early", decide(t, inTransit, Deliver), "v2", state.RolloutInTransit, 0, nil},
-		{"delivered", delivered, "v2", state.RolloutDelivered, state.RolloutFull, []string{"v1"}},
-		{"delivered, sent again", apply(t, delivered, Begin(orderOf("v2"), never, knownService)), "v2", state.RolloutDelivered, state.RolloutFull, []string{"v1"}},
-		{"delivered, then back", apply(t, delivered, Begin(orderOf("v1"), never, knownService)), "v1", state.RolloutInTransit, 0, nil},
-		{"returned", returned, "v2", state.RolloutReturned, 0, []string{"v2"}},
-		{"returned, sent again soon", apply(t, returned, Begin(orderOf("v2"), always, knownService)), "v2", state.RolloutReturned, 0, []string{"v2"}},
-		{"returned, ordered again", apply(t, returned, Begin(orderOf("v2"), never, knownService)), "v2", state.RolloutInTransit, 0, nil},
-		{"returned, decided again", decide(t, returned, Advance), "v2", state.RolloutReturned, 0, []string{"v2"}},
+		{"sent again", apply(t, inProgress, Begin(orderOf("v2"), always, knownService)), "v2", state.RolloutInProgress, 0, nil},
+		{"sent again with another time", apply(t, inProgress, Begin(Order{Service: "s", Target: "v2", Duration: 1}, never, knownService)), "v2", state.RolloutInProgress, 0, nil},
+		{"another target", apply(t, inProgress, Begin(orderOf("v3"), always, knownService)), "v3", state.RolloutInProgress, 0, []string{"v2"}},
+		{"advanced to the end", full, "v2", state.RolloutInProgress, state.RolloutFull, nil},
+		{"advanced beyond", decide(t, full, Advance), "v2", state.RolloutInProgress, state.RolloutFull, nil},
+		{"promoted too early", decide(t, inProgress, Promote), "v2", state.RolloutInProgress, 0, nil},
+		{"delivered", promoted, "v2", state.RolloutPromoted, state.RolloutFull, []string{"v1"}},
+		{"promoted, sent again", apply(t, promoted, Begin(orderOf("v2"), never, knownService)), "v2", state.RolloutPromoted, state.RolloutFull, []string{"v1"}},
+		{"promoted, then back", apply(t, promoted, Begin(orderOf("v1"), never, knownService)), "v1", state.RolloutInProgress, 0, nil},
+		{"returned", rolledBack, "v2", state.RolloutRolledBack, 0, []string{"v2"}},
+		{"rolled back, sent again soon", apply(t, rolledBack, Begin(orderOf("v2"), always, knownService)), "v2", state.RolloutRolledBack, 0, []string{"v2"}},
+		{"rolled back, ordered again", apply(t, rolledBack, Begin(orderOf("v2"), never, knownService)), "v2", state.RolloutInProgress, 0, nil},
+		{"rolled back, decided again", decide(t, rolledBack, Advance), "v2", state.RolloutRolledBack, 0, []string{"v2"}},
 	} {
 		target, reached, step := stateOf(test.record)
 		known, _ := test.record.Rollout("s")
@@ -105,7 +105,7 @@
 				target := rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(rt, "target")
 				update = Begin(orderOf(target), always, knownService)
 			} else {
-				action := rapid.SampledFrom([]Action{Hold, Advance, Deliver, Return}).Draw(rt, "action")
+				action := rapid.SampledFrom([]Action{Hold, Advance, Promote, RollBack}).Draw(rt, "action")
 				update = Transition{Service: "s", Revision: basis.Revision, Decision: Decision{Action: action}, Replaced: []string{"v0"}}.Apply
 			}
 			record = apply(rt, record, update)
@@ -120,9 +120,9 @@
 			require.GreaterOrEqual(rt, after.Revision, before.Revision)
 			if after.OrderRevision == before.OrderRevision {
 				require.LessOrEqual(rt, after.Step, before.Step+1)
-				require.True(rt, before.State == state.RolloutInTransit || after.State == before.State, "an end is final")
+				require.True(rt, before.State == state.RolloutInProgress || after.State == before.State, "an end is final")
 			}
-			require.NotEqual(rt, after.State != state.RolloutReturned, after.IsRetired(after.Target), "the target of a roll-out gets requests unless it was returned")
+			require.NotEqual(rt, after.State != state.RolloutRolledBack, after.IsRetired(after.Target), "the target of a roll-out gets requests unless it was rolled back")
 			require.LessOrEqual(rt, len(after.Retired), state.MaxRetired)
 		}
 	})
--- a/serving/rollout/wire.go
+++ b/serving/rollout/wire.go
@@ -5,7 +5,7 @@
 	"rowanlink/serving/state"
 )
 
-// JudgeRole is the singleton role of the core member that decides on the roll-outs in transit.
+// JudgeRole is the singleton role of the core member that decides on the roll-outs in progress.
 const JudgeRole = "judge-rollouts"
 
 // ReportMethod is the call by which agents pass their proxies' observations of roll-outs to the core member that decides
@@ -24,13 +24,13 @@
 	Supported bool `cbor:"1,keyasint,omitempty"`
 }
 
-// ReportRequest has the newest report on each roll-out in transit that the agent knows of.
+// ReportRequest has the newest report on each roll-out in progress that the agent knows of.
 type ReportRequest struct {
 	Observer string                `cbor:"1,keyasint"` // the member on the proxy's machine
 	Reports  []state.RolloutReport `cbor:"2,keyasint"`
 }
 
-// ReportResponse has the leases of the roll-outs that are in transit as far as the member knows. One that doesn't decide
+// ReportResponse has the leases of the roll-outs that are in progress as far as the member knows. One that doesn't decide
 // on them, or has no contact with a majority of the voters, grants none.
 type ReportResponse struct {
 	Leases []state.RolloutLease `cbor:"1,keyasint,omitempty"`
--- a/serving/state/rollout.go
+++ b/serving/state/rollout.go
@@ -7,12 +7,12 @@
 
 // The states of a roll-out. The last two are final.
 const (
-	RolloutInTransit RolloutState = iota + 1 // the target gets a share of the requests
-	RolloutDelivered                         // the target gets all requests
-	RolloutReturned                          // the target gets nothing any more
+	RolloutInProgress RolloutState = iota + 1 // the target gets a share of the requests
+	RolloutPromoted                           // the target gets all requests
+	RolloutRolledBack                         // the target gets nothing any more
 )
 
-// RolloutStep is the step of a roll-out in transit: how much of the service's traffic its target may get.
+// RolloutStep is the step of a roll-out in progress: how much of the service's traffic its target may get.
 type RolloutStep uint8
 
 // The steps, in their order.
@@ -23,12 +23,12 @@
 	RolloutFull                      // all new requests go to the target
 )
 
-// RolloutReason says why a roll-out was returned.
+// RolloutReason says why a roll-out was rolled back.
 type RolloutReason uint8
 
 // The reasons.
 const (
-	RolloutNotReturned  RolloutReason = iota
+	RolloutNoReason     RolloutReason = iota
 	RolloutFailures                   // answers of the target fail more often than those of the versions in force
 	RolloutSlow                       // answers of the target are late more often than those of the versions in force
 	RolloutNoEndpoints                // too few endpoints of the target came up in time
@@ -51,7 +51,7 @@
 	// ElapsedMillis is the time from the order to that change, at least.
 	ElapsedMillis int64          `cbor:"8,keyasint,omitempty"`
 	Verdict       RolloutVerdict `cbor:"9,keyasint"`
-	// Retired are the software versions that this and earlier roll-outs have replaced or returned, the newest last, at
+	// Retired are the software versions that this and earlier roll-outs have replaced or rolled back, the newest last, at
 	// most MaxRetired. They get nothing.
 	Retired []string `cbor:"10,keyasint,omitempty"`
 }
@@ -67,7 +67,7 @@
 // MaxRetired is the number of retired software versions of a service that are remembered.
 const MaxRetired = 16
 
-// IsRetired reports whether a software version was replaced or returned.
+// IsRetired reports whether a software version was replaced or rolled back.
 func (r *Rollout) IsRetired(version string) bool { return slices.Contains(r.Retired, version) }
 
 // Retire adds a software version to the retired ones. It doesn't modify the slice that the roll-out had.
@@ -163,7 +163,7 @@
 	MaxReportedEndpoints = 24
 )
 
-// RolloutLease permits a proxy to send requests to the target of a roll-out in transit for some time. Without one it
+// RolloutLease permits a proxy to send requests to the target of a roll-out in progress for some time. Without one it
 // sends none.
 type RolloutLease struct {
 	OrderRevision uint64 `cbor:"1,keyasint"` // identifies the roll-out
--- a/serving/subscription/subscription.go
+++ b/serving/subscription/subscription.go
@@ -27,7 +27,7 @@
 	Observations []state.Observation `cbor:"5,keyasint,omitempty"`
 	// ClientAddress is where the proxy accepts clients' requests, host:port. The agent's settings don't have it.
 	ClientAddress string `cbor:"6,keyasint,omitempty"`
-	// RolloutReports are what the proxy has observed of the roll-outs in transit.
+	// RolloutReports are what the proxy has observed of the roll-outs in progress.
 	RolloutReports []state.RolloutReport `cbor:"7,keyasint,omitempty"`
 	// SupportsRollouts means that the proxy carries out roll-outs. Those of earlier releases send to all endpoints alike.
 	SupportsRollouts bool `cbor:"8,keyasint,omitempty"`
@@ -43,7 +43,7 @@
 	Removed   []string         `cbor:"5,keyasint,omitempty"` // endpoints by ID
 	Loads     []state.Load     `cbor:"6,keyasint,omitempty"`
 	Proxies   ProxyCounts      `cbor:"7,keyasint"`
-	// RolloutLeases are the present leases of the roll-outs in transit.
+	// RolloutLeases are the present leases of the roll-outs in progress.
 	RolloutLeases []state.RolloutLease `cbor:"8,keyasint,omitempty"`
 }
 
--- a/test/integration/serving/rollout_test.go
+++ b/test/integration/serving/rollout_test.go
@@ -22,7 +22,7 @@
 )
 
 // TestRollout_GoodVersionWithItsCoresKilled orders a roll-out to a good version. All core processes are killed after the
-// acknowledgement and start again; the roll-out goes on and is delivered, and no request is lost when the former
+// acknowledgement and start again; the roll-out goes on and is promoted, and no request is lost when the former
 // endpoints end.
 func TestRollout_GoodVersionWithItsCoresKilled(t *testing.T) {
 	c := startCluster(t)
@@ -38,10 +38,10 @@
 	c.orderRollout() // the order may come again
 	c.eventually("the roll-out is delivered", func() bool { return c.readRollout().State == "delivered" })
 	former := c.stocks
-	delivered := time.Now()
+	promoted := time.Now()
 	load.awaitServed(300)
 	for _, e := range former {
-		assert.Empty(t, c.ledger.runsAfter(delivered, e.ID), "a former endpoint got a request")
+		assert.Empty(t, c.ledger.runsAfter(promoted, e.ID), "a former endpoint got a request")
 		e.Close()
 	}
 	c.stocks = nil
@@ -65,7 +65,7 @@
 	assert.Equal(t, "failures", found.Verdict.Reason)
 	assert.Equal(t, []string{targetVersion}, found.Retired)
 	assert.Less(t, time.Since(ordered), rolloutDuration)
-	returned := time.Now()
+	rolledBack := time.Now()
 	load.awaitServed(300)
 	var all []string
 	for _, e := range append(targets, c.stocks...) {
@@ -74,7 +74,7 @@
 	exposed := 0
 	for _, e := range targets {
 		exposed += len(c.ledger.runsAfter(ordered, e.ID))
-		assert.Empty(t, c.ledger.runsAfter(returned.Add(time.Second), e.ID), "the target got a request after its return")
+		assert.Empty(t, c.ledger.runsAfter(rolledBack.Add(time.Second), e.ID), "the target got a request after its roll-back")
 	}
 	assert.LessOrEqual(t, float64(exposed), exposureShare*float64(len(c.ledger.runsAfter(ordered, all...)))+exposureSlack)
 	c.orderRollout() // sent again: it is neither refused nor begun anew
