--- a/serving/delivery/batchsender.go
+++ b/serving/delivery/batchsender.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// takeBatch returns the entries of the next call. Where there are none, it ends the caller's turn.
+// takeBatch returns the entries of the next call. Where there are none, it counts the caller's loop as ended.
 func (s *BatchSender) takeBatch(address string, queue *sendQueue) (batch []queuedEntry) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/serving/gossip/ranking.go
+++ b/serving/gossip/ranking.go
@@ -71,8 +71,8 @@
 }
 
 // rank returns the rank of a peer, which changes every rankPeriod. The peers change theirs at different times.
-func (r *peerRanking) rank(now time.Time, own, peer string) uint64 {
+func (r *peerRanking) rank(now time.Time, self, peer string) uint64 {
 	offset := time.Duration(xxhash.Sum64String(peer) % uint64(rankPeriod))
 	period := strconv.FormatInt(int64((now.Sub(r.startedAt)+offset)/rankPeriod), 10)
-	return xxhash.Sum64String(own + "\x00" + peer + "\x00" + period)
+	return xxhash.Sum64String(self + "\x00" + peer + "\x00" + period)
 }
