Waits for an endpoint follow from the caller's time, alike for first tries and repeats

What callers saw: with every slot taken, a caller with six seconds left and a target of 200 ms was turned away after 43 ms; its repeat was held for six seconds. A slot that became free after 0.8 s went unused.

The duration of calls comes from measurements that decay (workModel). A request of lower priority yields for as long as it can wait, and is then rejected. Where no endpoint is usable at all, the request is rejected at once, as before for targets under 1.2 s.

--- a/serving/placement/eligibility.go
+++ b/serving/placement/eligibility.go
@@ -1,16 +1,15 @@
 package placement
 
 import (
-	"math"
 	"slices"
 	"time"
 )
 
 // checkEligibility reports whether a request may go to an endpoint now. If not, retryIn is the time after which it may
-// (math.MaxInt64: unknown).
+// (unknownDelay if none is expected).
 func (p *Picker) checkEligibility(s *candidateSearch, e *endpoint) (retryIn time.Duration, eligible bool) {
 	if !s.isUsable(e) {
-		return math.MaxInt64, false
+		return unknownDelay, false
 	}
 	if backoff := e.health.backoffUntil.Sub(s.now); backoff > 0 {
 		return backoff, false
@@ -25,7 +24,7 @@
 	}
 	delay, allowed := p.warmupDelay(s.now, e)
 	if !allowed {
-		return math.MaxInt64, false
+		return unknownDelay, false
 	}
 	return delay, delay == 0
 }
--- a/serving/placement/pick.go
+++ b/serving/placement/pick.go
@@ -25,10 +25,12 @@
 		}
 	}
 	s := p.newSearch(now, service, &request)
+	p.prepareSearch(&s)
 	if s.mustYield() {
-		return Choice{}, Decision{Kind: Wait, Delay: p.jitter(slotPollInterval)}
+		s.sawFullWindow = true
+		s.retryIn = p.jitter(slotPollInterval)
+		return Choice{}, p.waitOrReject(&s)
 	}
-	p.prepareSearch(&s)
 	p.searchRegions(&s)
 	if s.best.endpoint == nil && s.lacksPinnedVersion() {
 		return Choice{}, p.reject(noEndpointRetryAfter)
@@ -50,7 +52,7 @@
 		request:       request,
 		service:       service,
 		priority:      priorityOf(request.Route.Precedence),
-		retryIn:       noEndpointRetryAfter,
+		retryIn:       unknownDelay,
 		pinnedVersion: p.pinnedVersion(request, service.name),
 	}
 }
@@ -119,6 +121,7 @@
 		pathLatency:       best.pathLatency,
 		uncachedTokens:    best.uncachedTokens,
 		tokensAhead:       best.tokensAhead,
+		outputTokens:      s.request.MaxOutputTokens,
 		reservedTokens:    s.promptTokens + s.request.MaxOutputTokens,
 		modeledFirstByte:  best.modeledFirstByte,
 		expectedFirstByte: best.firstByte,
--- a/serving/placement/report.go
+++ b/serving/placement/report.go
@@ -21,6 +21,7 @@
 		p.rollouts.recordFirstByte(now, p, c)
 		recordFirstByte(now, c)
 		c.gotFirstByte = true
+		c.firstByteAt = now
 		c.endpoint.leaveQueue(c)
 	}
 	c.endpoint.recordActivity(now)
@@ -69,4 +70,5 @@
 	e := c.endpoint
 	e.callMillis = smooth(e.callMillis, millis, callTimeSmoothing)
 	e.service.callMillis = smooth(e.service.callMillis, millis, callTimeSmoothing)
+	e.service.recordCall(now, c)
 }
--- a/serving/placement/request.go
+++ b/serving/placement/request.go
@@ -24,7 +24,8 @@
 	MaxOutputTokens int
 	Blocks          []PrefixBlock // in order; all but the last may be shared with requests of other sessions
 	TimeLeft        time.Duration // until the request's deadline
-	// QueuedFor is the time since the request arrived. It bounds how long Pick lets the request wait.
+	// QueuedFor is the time since the request arrived. Together with TimeLeft it is the time that the client gave the
+	// request.
 	QueuedFor      time.Duration
 	TriedEndpoints []string // IDs of the endpoints that earlier attempts went to
 	Resumed        bool     // the request continues a stream whose first part the client has received
@@ -74,9 +75,11 @@
 	sentAt       time.Time
 	priority     int  // 0 is the highest
 	gotFirstByte bool // the response has begun
+	firstByteAt  time.Time
 	finished     bool
 
 	uncachedTokens int // prompt tokens that the endpoint is expected to prefill
+	outputTokens   int // the most tokens of the response
 	reservedTokens int // KV cache that the call may fill
 	tokensAhead    int // prompt tokens of this proxy's earlier calls that were not prefilled when the call was sent
 
--- a/serving/placement/service.go
+++ b/serving/placement/service.go
@@ -28,6 +28,7 @@
 	maxConnections int
 
 	responseModel
+	workModel
 
 	pathCosts pathCosts
 
