Waiting requests get free slots by precedence and deadline, and are signaled

What callers saw: requests that wait for a slot polled at random, so a new request could pass one that had waited for seconds, a caller with five seconds left could pass one with a half, and a slot stayed free until the next poll. A request of higher precedence held up all others of the service, even those for regions that it may not use.

Cause: a service knew only until when some request of each priority waits.

Change: each service has a queue of tickets, ordered by precedence, then by the time at which the call must begin to end in time (earliest deadline first), then by arrival. The end of a call signals the first ones that may use its endpoint. A new request yields to those before it that may use the endpoint which it would get. A request that can't get a slot in its time behind those before it, even if this proxy had all the slots it may ever use, is rejected at once, with its caller's time left to go elsewhere. The Retry-After of such a rejection is the expected end of the calls in flight.

Evidence: wait_queue_test.go (deadline order, precedence, no passing, other regions, disconnected clients, a queue that is too long).

--- a/serving/httpserver/forward.go
+++ b/serving/httpserver/forward.go
@@ -93,7 +93,8 @@
 			return choice, true
 		case placement.Wait:
 			delay := max(min(decision.Delay, f.placement.TimeLeft), minPickDelay)
-			if !ctxsleep.Sleep(ctx, delay) {
+			f.placement.Ticket = decision.Ticket
+			if !ctxsleep.SleepOrSignal(ctx, delay, ready(decision.Ticket)) {
 				f.abortConnection(ctx)
 			}
 		default:
@@ -103,6 +104,14 @@
 	}
 }
 
+// ready returns the channel that signals a free slot to a waiting request; nil if it waits for something else.
+func ready(ticket *placement.Ticket) <-chan struct{} {
+	if ticket == nil {
+		return nil
+	}
+	return ticket.Ready()
+}
+
 // tryEndpoint sends the request to the chosen endpoint and relays the response.
 func (f *forwarder) tryEndpoint(ctx context.Context, choice placement.Choice) (attempt.Outcome, nextStep) {
 	if f.service == "" {
--- a/serving/placement/call_load.go
+++ b/serving/placement/call_load.go
@@ -9,6 +9,7 @@
 
 // callLoad is the load of an endpoint according to this proxy's own calls and the endpoint's last load report.
 type callLoad struct {
+	calls             []*call             // this proxy's calls in flight, the oldest first
 	reservedTokens    int                 // KV cache that this proxy's calls in flight may fill
 	awaitingFirstByte []*call             // this proxy's calls without a first byte, the oldest first
 	prefillBacklog    [priorityLevels]int // uncached prompt tokens of awaitingFirstByte, by priority
@@ -21,6 +22,7 @@
 // startCall accounts for a call that is sent.
 func (e *endpoint) startCall(c *call) {
 	e.inFlight++
+	e.calls = append(e.calls, c)
 	e.reservedTokens += c.reservedTokens
 	e.prefillBacklog[c.priority] += c.uncachedTokens
 	e.tokensSinceReport += c.uncachedTokens
@@ -44,6 +46,9 @@
 func (e *endpoint) endCall(c *call) {
 	e.leaveQueue(c)
 	e.inFlight--
+	if index := slices.Index(e.calls, c); index >= 0 {
+		e.calls = slices.Delete(e.calls, index, index+1)
+	}
 	e.reservedTokens -= c.reservedTokens
 }
 
--- a/serving/placement/pick.go
+++ b/serving/placement/pick.go
@@ -26,11 +26,7 @@
 	}
 	s := p.newSearch(now, service, &request)
 	p.prepareSearch(&s)
-	if s.mustYield() {
-		s.sawFullWindow = true
-		s.retryIn = p.jitter(slotPollInterval)
-		return Choice{}, p.waitOrReject(&s)
-	}
+	request.leaveQueue(now, &service.queue)
 	p.searchRegions(&s)
 	if s.best.endpoint == nil && s.lacksPinnedVersion() {
 		return Choice{}, p.reject(noEndpointRetryAfter)
@@ -41,6 +37,11 @@
 	if s.best.queueDelay > request.TimeLeft {
 		return Choice{}, p.reject(s.best.queueDelay - request.TimeLeft)
 	}
+	if len(service.queue.tickets) > 0 {
+		if ticket := s.newTicket(); service.queue.mustYield(ticket, s.best.endpoint, s.freeSlots) {
+			return Choice{}, p.waitForSlot(&s, ticket)
+		}
+	}
 	return p.reserve(&s), Decision{Kind: Picked}
 }
 
--- a/serving/placement/queueing.go
+++ b/serving/placement/queueing.go
@@ -12,8 +12,8 @@
 	// connectAllowanceDivisor divides the time that a client has; it gives a new attempt up if a proxy has not read it
 	// within the result, so a short request needs no longer connectAllowance.
 	connectAllowanceDivisor = 3
-	// slotPollInterval is the least time after which a request searches again for a free slot in a concurrency window.
-	// Jitter makes it up to twice as long.
+	// slotPollInterval is the least time after which a request searches again for a free slot in a concurrency window,
+	// unless it is signaled before. Jitter makes it up to twice as long.
 	slotPollInterval = 10 * time.Millisecond
 	// minPollInterval is the least time after which a request searches again for any reason.
 	minPollInterval = 2 * time.Millisecond
@@ -28,17 +28,6 @@
 	maxRetryAfter = time.Second
 )
 
-// mustYield reports whether the request leaves free slots to a request of higher priority that waits for one of the
-// same service.
-func (s *candidateSearch) mustYield() bool {
-	for _, until := range s.service.waitingUntil[:s.priority] {
-		if s.now.Before(until) {
-			return true
-		}
-	}
-	return false
-}
-
 // remainingQueueTime returns how much longer the request may wait for an endpoint. A call that begins at the end of that
 // time is expected to end before the request's deadline, and a client that is rejected then can still be served through
 // another proxy. It depends on the time that the client has and on the work that is left, not on whether this is the
@@ -51,24 +40,30 @@
 
 // waitOrReject decides what to do with a request for which no endpoint is eligible now.
 func (p *Picker) waitOrReject(s *candidateSearch) Decision {
-	if s.retryIn == unknownDelay {
+	switch {
+	case s.retryIn == unknownDelay:
 		return p.reject(noEndpointRetryAfter) // another proxy may know of an endpoint
-	}
-	queueTime := s.remainingQueueTime()
-	if s.sawFullWindow && queueTime >= minPollInterval {
-		s.retryIn = min(s.retryIn, queueTime) // a slot may become free at any time before the queue time ends
-	}
-	if s.retryIn > queueTime {
+	case s.sawFullWindow:
+		return p.waitForSlot(s, s.newTicket())
+	case s.retryIn > s.remainingQueueTime():
 		return p.reject(s.retryIn)
 	}
-	delay := max(min(s.retryIn, maxPollInterval), minPollInterval)
-	if s.sawFullWindow {
-		until := s.now.Add(delay + slotPollInterval)
-		if until.After(s.service.waitingUntil[s.priority]) {
-			s.service.waitingUntil[s.priority] = until
-		}
+	return Decision{Kind: Wait, Delay: max(min(s.retryIn, maxPollInterval), minPollInterval)}
+}
+
+// waitForSlot queues a request for a free slot, or rejects it if it can't get one in time: then its client still has
+// time to go elsewhere. Otherwise a queue that is too long would serve nobody, since all requests in it would run out of
+// time together.
+func (p *Picker) waitForSlot(s *candidateSearch, ticket *Ticket) Decision {
+	queue := &s.service.queue
+	queueTime := s.remainingQueueTime()
+	if queueTime < minPollInterval || s.shortestSlotDelay(queue.countAhead(ticket)) > queueTime {
+		return p.reject(s.expectedSlotDelay(len(queue.tickets)))
 	}
-	return Decision{Kind: Wait, Delay: delay}
+	delay := max(min(p.jitter(slotPollInterval), queueTime), minPollInterval)
+	ticket.expiresAt = s.now.Add(delay + slotPollInterval)
+	queue.add(ticket)
+	return Decision{Kind: Wait, Delay: delay, Ticket: ticket}
 }
 
 // reject rejects the request. retryIn is the time until an endpoint is expected to become eligible; the Retry-After is
--- a/serving/placement/report.go
+++ b/serving/placement/report.go
@@ -48,6 +48,7 @@
 	}
 	p.rollouts.recordOutcome(now, c, outcome)
 	p.applyOutcome(now, c, outcome)
+	c.endpoint.service.queue.wake(c.endpoint, c.endpoint.concurrencyLimit(now)-c.endpoint.inFlight)
 }
 
 // recordFirstByte updates the estimates by a time to first byte.
--- a/serving/placement/request.go
+++ b/serving/placement/request.go
@@ -34,6 +34,8 @@
 	Version string
 	// Waited: an earlier call of Pick for this request has decided to wait.
 	Waited bool
+	// Ticket is the one of the last decision to wait; nil: none.
+	Ticket *Ticket
 }
 
 // DecisionKind is how a request proceeds after Pick.
@@ -42,7 +44,7 @@
 // The kinds of decisions.
 const (
 	Picked DecisionKind = iota // send the request to the chosen endpoint
-	Wait                       // call Pick again after Decision.Delay
+	Wait                       // call Pick again after Decision.Delay, or once Decision.Ticket is ready
 	Reject                     // reject the request with Decision.Delay as its Retry-After
 )
 
@@ -50,6 +52,8 @@
 type Decision struct {
 	Kind  DecisionKind
 	Delay time.Duration
+	// Ticket is the request's place in the queue for a free slot; nil: it waits for something else.
+	Ticket *Ticket
 }
 
 // Choice is the endpoint that a request goes to.
--- a/serving/placement/service.go
+++ b/serving/placement/service.go
@@ -32,9 +32,7 @@
 
 	pathCosts pathCosts
 
-	// waitingUntil is, by priority, the time until which some request waits for a slot. Requests of lower priority yield
-	// until then.
-	waitingUntil [priorityLevels]time.Time
+	queue waitQueue // of requests that wait for a slot
 }
 
 // region holds a service's endpoints in one region.
--- /dev/null
+++ b/serving/placement/wait_queue_test.go
@@ -0,0 +1,211 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rowanlink/serving/attempt"
+	"rowanlink/serving/state"
+)
+
+// wait calls Pick for a request that has to wait, and stores its ticket.
+func (w *pickerFixture) wait(t testing.TB, request *Request) {
+	_, decision := w.Pick(w.now, *request)
+	require.Equal(t, Wait, decision.Kind)
+	require.NotNil(t, decision.Ticket)
+	request.Ticket, request.Waited = decision.Ticket, true
+}
+
+// signaled reports whether the request's ticket has been signaled since the last call.
+func signaled(request Request) bool {
+	select {
+	case <-request.Ticket.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+// singleSlot returns a fixture with one endpoint of one slot, which is taken.
+func singleSlot(t testing.TB) (*pickerFixture, Reservation) {
+	endpoints := plainEndpoints("plain", "e1")
+	endpoints[0].Slots = 1
+	w := newFixture(t, "e1", endpoints...)
+	return w, w.takeAllSlots("plain")[0]
+}
+
+func TestWaitQueue_EarliestDeadlineFirst(t *testing.T) {
+	w, taken := singleSlot(t)
+	patient, urgent := w.request("plain", 1), w.request("plain", 2)
+	urgent.TimeLeft = 3 * time.Second
+	w.wait(t, &patient)
+	w.wait(t, &urgent)
+	w.ReportOutcome(w.now, taken, attempt.Succeeded)
+	assert.True(t, signaled(urgent), "the request with less time left is told at once that a slot is free")
+	assert.False(t, signaled(patient))
+	w.wait(t, &patient)
+	late := w.request("plain", 3)
+	w.wait(t, &late)
+	choice, decision := w.Pick(w.now, urgent)
+	require.Equal(t, Picked, decision.Kind)
+	w.ReportOutcome(w.now, choice.Reservation, attempt.Succeeded)
+	assert.True(t, signaled(patient), "of requests with the same deadline, the one that asked first is the next")
+	assert.False(t, signaled(late))
+}
+
+// TestWaitQueue_PrecedenceBeforeDeadline: the operator's precedence ranks before the time left and the latency target.
+func TestWaitQueue_PrecedenceBeforeDeadline(t *testing.T) {
+	w := newFixture(t, "e1", modelEndpoints("e1", 1)...)
+	w.endpoints["e1-0"].window = 1
+	taken := w.takeAllSlots("review")
+	ranked, hurried := w.request("urgent", 1), w.request("review", 2)
+	hurried.TimeLeft = 3 * time.Second
+	hurried = withTarget(hurried, 50*time.Millisecond)
+	w.wait(t, &hurried)
+	w.wait(t, &ranked)
+	w.ReportOutcome(w.now, taken[0], attempt.Canceled) // the window stays at one
+	assert.True(t, signaled(ranked))
+	assert.False(t, signaled(hurried))
+	w.wait(t, &hurried)
+	_, decision := w.Pick(w.now, ranked)
+	assert.Equal(t, Picked, decision.Kind)
+}
+
+// TestWaitQueue_NewRequestsDoNotPass: a new request leaves a free slot to one that waits, unless there is one for both.
+func TestWaitQueue_NewRequestsDoNotPass(t *testing.T) {
+	w, taken := singleSlot(t)
+	first := w.request("plain", 1)
+	first.QueuedFor, first.TimeLeft = time.Second, 5*time.Second
+	w.wait(t, &first)
+	w.ReportOutcome(w.now, taken, attempt.Succeeded)
+	newcomer := w.request("plain", 2)
+	w.wait(t, &newcomer)
+	w.snapshot.Endpoints = append(w.snapshot.Endpoints, state.Endpoint{ID: "plain-9", Service: "plain", Zone: "e1",
+		Address: "10.0.1.9:80", Slots: 6, Sequence: 1})
+	w.update()
+	_, decision := w.Pick(w.now, newcomer)
+	assert.Equal(t, Picked, decision.Kind, "slots are free for both")
+}
+
+// TestWaitQueue_OnlyForEndpointsThatTheRequestMayUse: a request of high priority that is bound to a full region holds up
+// nobody in another one.
+func TestWaitQueue_OnlyForEndpointsThatTheRequestMayUse(t *testing.T) {
+	w := newFixture(t, "e1", append(modelEndpoints("e2", 1), modelEndpoints("w1", 1)...)...)
+	w.endpoints["e2-0"].window = 1
+	bound := w.request("home", 1)
+	_, decision := w.Pick(w.now, bound)
+	require.Equal(t, Picked, decision.Kind)
+	route := *bound.Route
+	route.Precedence = 0
+	bound.Route = &route
+	w.wait(t, &bound)
+	choice, decision := w.Pick(w.now, w.request("review", 2))
+	require.Equal(t, Picked, decision.Kind)
+	assert.Equal(t, "w1", choice.Endpoint.Zone)
+}
+
+// TestWaitQueue_DisconnectedClientsAreForgotten: a request whose Pick isn't called any more holds up nobody.
+func TestWaitQueue_DisconnectedClientsAreForgotten(t *testing.T) {
+	w, taken := singleSlot(t)
+	gone := w.request("plain", 1)
+	w.wait(t, &gone)
+	w.ReportOutcome(w.now, taken, attempt.Succeeded)
+	w.now = w.now.Add(3 * slotPollInterval)
+	_, decision := w.Pick(w.now, w.request("plain", 2))
+	assert.Equal(t, Picked, decision.Kind)
+	assert.Empty(t, w.services["plain"].queue.tickets)
+}
+
+// TestWaitQueue_TooLongToBeServed: behind more requests than can be served in its time, a request is rejected at once,
+// with its client's time left to go elsewhere.
+func TestWaitQueue_TooLongToBeServed(t *testing.T) {
+	w, taken := singleSlot(t)
+	for range 30 {
+		w.now = w.now.Add(200 * time.Millisecond)
+		w.ReportOutcome(w.now, taken, attempt.Succeeded)
+		taken = w.takeAllSlots("plain")[0]
+	}
+	served, rejected := 0, 0
+	for subject := range 60 {
+		request := w.request("plain", subject)
+		request.TimeLeft = 3 * time.Second
+		_, decision := w.Pick(w.now, request)
+		if decision.Kind == Wait {
+			served++
+			continue
+		}
+		rejected++
+	}
+	const mostServed = 10 // in the two seconds after which a client still has one to go elsewhere
+	assert.InDelta(t, mostServed, served, 1.2*mostServed/2)
+	assert.GreaterOrEqual(t, served, mostServed)
+	assert.Equal(t, 60-served, rejected)
+}
+
+// TestWaitQueue_OverloadServesAtCapacity: at twice the load that an endpoint can serve, it is busy all the time, and
+// those that it can't serve are rejected with time left rather than all running out of time together.
+func TestWaitQueue_OverloadServesAtCapacity(t *testing.T) {
+	endpoints := plainEndpoints("plain", "e1")
+	endpoints[0].Slots = 8
+	w := newFixture(t, "e1", endpoints...)
+	w.endpoints["plain-0"].window = 6
+	const callTime, timeLeft = 100 * time.Millisecond, 2 * time.Second
+	type waiting struct {
+		request   Request
+		arrivedAt time.Time
+		pollAt    time.Time
+	}
+	type running struct {
+		reservation     Reservation
+		endAt, deadline time.Time
+	}
+	var queue []waiting
+	var calls []running
+	inTime, late, rejected, rejectedLate := 0, 0, 0, 0
+	startedAt := w.now
+	for step := range 10_000 { // of a millisecond
+		w.now = startedAt.Add(time.Duration(step) * time.Millisecond)
+		for len(calls) > 0 && !w.now.Before(calls[0].endAt) {
+			w.ReportOutcome(w.now, calls[0].reservation, attempt.Succeeded)
+			if calls[0].endAt.After(calls[0].deadline) {
+				late++
+			} else {
+				inTime++
+			}
+			calls = calls[1:]
+		}
+		if step%8 == 0 { // 125 a second; six slots serve 60
+			queue = append(queue, waiting{request: w.request("plain", step), arrivedAt: w.now, pollAt: w.now})
+		}
+		polled := queue
+		queue = nil
+		for _, next := range polled {
+			if ticket := next.request.Ticket; w.now.Before(next.pollAt) && !(ticket != nil && signaled(next.request)) {
+				queue = append(queue, next)
+				continue
+			}
+			next.request.QueuedFor = w.now.Sub(next.arrivedAt)
+			next.request.TimeLeft = timeLeft - next.request.QueuedFor
+			choice, decision := w.Pick(w.now, next.request)
+			switch decision.Kind {
+			case Picked:
+				calls = append(calls, running{choice.Reservation, w.now.Add(callTime), next.arrivedAt.Add(timeLeft)})
+			case Wait:
+				next.request.Ticket, next.pollAt = decision.Ticket, w.now.Add(decision.Delay)
+				queue = append(queue, next)
+			case Reject:
+				rejected++
+				if next.request.TimeLeft < timeLeft/3 {
+					rejectedLate++
+				}
+			}
+		}
+	}
+	t.Logf("%d in time, %d late, %d rejected, %d of them late", inTime, late, rejected, rejectedLate)
+	assert.Greater(t, inTime, 570, "the slots are used nearly all the time")
+	assert.Zero(t, late)
+	assert.Zero(t, rejectedLate)
+}
--- a/serving/placement/work_left.go
+++ b/serving/placement/work_left.go
@@ -3,28 +3,23 @@
 import "time"
 
 // workModel estimates how long a service's calls take, to tell whether a response can still be complete before its
-// deadline. Without new measurements the estimates decay to the initial ones: a service that was slow would otherwise
-// never be tried again by requests with less time than it took.
+// deadline. Without new measurements the estimates decay to zero: a service that was slow would otherwise never be tried
+// again by requests with less time than it took.
 type workModel struct {
-	plainCalls  decayingMean // duration of successful calls without an engine, without the path
+	calls       decayingMean // duration of successful calls, without the path
 	outputToken decayingMean // time from the first byte to the end of a response, for each token that the client asked for
 }
 
 // recordCall updates the model by a successful call that has ended.
 func (m *workModel) recordCall(now time.Time, c *call) {
-	if !c.endpoint.service.hasEngine() {
-		m.plainCalls.add(now, now.Sub(c.sentAt)-c.pathLatency)
-		return
-	}
+	m.calls.add(now, now.Sub(c.sentAt)-c.pathLatency)
 	if c.gotFirstByte && c.outputTokens > 0 {
 		m.outputToken.add(now, now.Sub(c.firstByteAt)/time.Duration(c.outputTokens))
 	}
 }
 
-// plainCallTime returns the usual duration of a call to a service without an engine, without the path.
-func (m *workModel) plainCallTime(now time.Time) time.Duration {
-	return m.plainCalls.meanWithPrior(now, time.Duration(initialCallMillis*float64(time.Millisecond)))
-}
+// callTime returns the usual duration of a call, without the path. It is zero while none was measured.
+func (m *workModel) callTime(now time.Time) time.Duration { return m.calls.meanAt(now) }
 
 // outputTime returns the usual time from the first byte of a response to its end. It is zero while none was measured.
 func (m *workModel) outputTime(now time.Time, tokens int) time.Duration {
@@ -36,7 +31,7 @@
 // take less.
 func (s *candidateSearch) shortestCallTime() time.Duration {
 	if !s.service.hasEngine() {
-		return sameZoneLatency + s.service.plainCallTime(s.now)
+		return sameZoneLatency + s.service.callTime(s.now)
 	}
 	prefill := s.service.prefillTime(max(s.promptTokens-s.sharedTokens, 1))
 	return sameZoneLatency + s.service.baseLatency + prefill + s.service.outputTime(s.now, s.request.MaxOutputTokens)
