A request whose work can't be done in its caller's time isn't sent

What callers saw: a prompt of 9,000 tokens with nothing cached (300 ms of prefill) was sent for a caller that had 100 ms left. The caller got nothing, and the endpoint's work delayed others.

Cause: only the queueing delay was compared with the time left; prefill and output, which are estimated too, were not.

Change: an endpoint is passed over if queue, prefill (or the call of a plain service) and the tokens to come are expected to end after the deadline; if all are, the request is rejected at once. A resumed stream counts only the tokens that its client has not received.

The test of an oversized prompt gets the ten seconds that its 200,000 tokens need.

--- a/serving/httpserver/forward.go
+++ b/serving/httpserver/forward.go
@@ -79,6 +79,7 @@
 		f.placement.Service = f.service
 		f.placement.TriedEndpoints = f.triedEndpoints
 		f.placement.Resumed = f.stream.started
+		f.placement.MaxOutputTokens = f.outputTokensLeft()
 		if f.placement.TimeLeft <= 0 {
 			f.respondExpired(ctx)
 			return placement.Choice{}, false
@@ -104,6 +105,15 @@
 	}
 }
 
+// outputTokensLeft returns the most tokens of the response that the client has not received yet.
+func (f *forwarder) outputTokensLeft() int {
+	service, known := f.table.Service(f.service)
+	if !known || service.Engine == nil {
+		return f.maxOutputTokens
+	}
+	return max(f.maxOutputTokens-f.stream.relayedEvents*service.Engine.TokensPerEvent, 0)
+}
+
 // ready returns the channel that signals a free slot to a waiting request; nil if it waits for something else.
 func ready(ticket *placement.Ticket) <-chan struct{} {
 	if ticket == nil {
--- a/serving/httpserver/handler.go
+++ b/serving/httpserver/handler.go
@@ -58,6 +58,7 @@
 	}
 	defer s.bodyMemory.release(r.ContentLength)
 	req.placement = placementRequest(route, r.Header)
+	req.maxOutputTokens = req.placement.MaxOutputTokens
 	f := &forwarder{server: s, request: &req, writer: w}
 	f.forward(r.Context())
 }
--- a/serving/httpserver/request.go
+++ b/serving/httpserver/request.go
@@ -24,6 +24,8 @@
 	body        []byte
 	hasBody     bool // a Content-Length is sent to the endpoint even if the body is empty
 	placement   placement.Request
+	// maxOutputTokens is the most tokens of the complete response, as the client states it.
+	maxOutputTokens int
 }
 
 // requestTarget returns the path and query exactly as the client sent them. Of an absolute URL, scheme and host are
--- a/serving/httpserver/stream.go
+++ b/serving/httpserver/stream.go
@@ -17,9 +17,10 @@
 
 // streamProgress records how much of a stream of server-sent events has been sent to the client, over all attempts.
 type streamProgress struct {
-	started      bool   // the headers have been sent
-	lastEventID  string // of the last event sent that has an ID
-	filterBuffer []byte // reused by withoutRelayed
+	started       bool   // the headers have been sent
+	relayedEvents int    // sent so far
+	lastEventID   string // of the last event sent that has an ID
+	filterBuffer  []byte // reused by withoutRelayed
 }
 
 // isEventStream reports whether a response is a stream of events. On a route for streams, a response of unknown length
@@ -79,6 +80,7 @@
 	if _, err := f.writer.Write(events); err != nil {
 		return false
 	}
+	forEachEvent(events, func([]byte) { f.stream.relayedEvents++ })
 	return http.NewResponseController(f.writer).Flush() == nil
 }
 
--- a/serving/httpserver/stream_test.go
+++ b/serving/httpserver/stream_test.go
@@ -183,6 +183,18 @@
 	assert.Equal(t, []attempt.Outcome{attempt.TimedOut, attempt.Succeeded}, proxy.picker.recordedOutcomes())
 }
 
+// TestStream_OutputLeftOfResumedStream: the events that the client has received, of four tokens each, are no work that is
+// left.
+func TestStream_OutputLeftOfResumedStream(t *testing.T) {
+	proxy := newTestProxy(t, respondAndClose(streamHead+chunk(testEvents(1, 3))), resumeStream(t, 5))
+	request := proxy.request("/chat/x", "")
+	request.Header.Set("X-Token-Count", "1460,80")
+	assert.True(t, proxy.do(request).complete)
+	require.Len(t, proxy.picker.requests, 2)
+	assert.Equal(t, 80, proxy.picker.requests[0].MaxOutputTokens)
+	assert.Equal(t, 80-3*4, proxy.picker.requests[1].MaxOutputTokens)
+}
+
 // TestStream_WithoutContentType: on a route for streams, a response of unknown length is not buffered even without a
 // Content-Type. The endpoint announces an idle timeout of zero, so its connection is closed after the response.
 func TestStream_WithoutContentType(t *testing.T) {
--- a/serving/placement/candidates.go
+++ b/serving/placement/candidates.go
@@ -34,6 +34,9 @@
 	best          estimate
 	retryIn       time.Duration // the shortest time after which an ineligible endpoint may become eligible
 	sawFullWindow bool          // some endpoint was passed over because its concurrency window is full
+	// lateQueueDelay is the shortest queueing delay of an eligible endpoint that was passed over because its response is
+	// expected to end after the deadline; unknownDelay: there is none.
+	lateQueueDelay time.Duration
 }
 
 // searchRegions compares the endpoints of the own region first, and then those of other regions unless
@@ -97,7 +100,8 @@
 	}
 }
 
-// considerEndpoint makes an endpoint the best candidate if it is eligible and costs less than the best one so far.
+// considerEndpoint makes an endpoint the best candidate if it is eligible, is expected to respond completely before the
+// request's deadline, and costs less than the best one so far.
 func (p *Picker) considerEndpoint(s *candidateSearch, e *endpoint, isOwner bool) {
 	retryIn, eligible := p.checkEligibility(s, e)
 	if !eligible {
@@ -105,6 +109,10 @@
 		return
 	}
 	found := p.estimateCost(s, e, isOwner)
+	if found.callTime > s.request.TimeLeft {
+		s.lateQueueDelay = min(s.lateQueueDelay, found.queueDelay)
+		return
+	}
 	if s.best.endpoint == nil || found.cost < s.best.cost {
 		s.best = found
 	}
--- a/serving/placement/estimate.go
+++ b/serving/placement/estimate.go
@@ -27,6 +27,7 @@
 	endpoint         *endpoint
 	firstByte        time.Duration // time to the first byte
 	queueDelay       time.Duration // part of firstByte that is spent behind other requests
+	callTime         time.Duration // time to the end of the response
 	modeledFirstByte time.Duration // firstByte without the recently measured queueing delay
 	cost             time.Duration // the endpoint with the lowest cost is chosen
 	uncachedTokens   int           // prompt tokens to prefill
@@ -88,6 +89,7 @@
 	ownQueueDelay := service.prefillTime(found.tokensAhead) + e.expectedQueueDelay(s.now, s.priority)
 	found.queueDelay = max(ownQueueDelay, p.reportedQueueDelay(s.now, e))
 	found.firstByte = unqueued + found.queueDelay
+	found.callTime = found.firstByte + service.outputTime(s.now, s.request.MaxOutputTokens)
 
 	sharedUncached := max(s.sharedTokens-cached, 0)
 	found.cost += recomputeWeight * service.prefillTime(sharedUncached)
@@ -136,5 +138,6 @@
 	found.modeledFirstByte = found.pathLatency + callTime + time.Duration(queued*float64(callTime))
 	found.queueDelay = found.modeledFirstByte - found.pathLatency - callTime + e.expectedQueueDelay(s.now, s.priority)
 	found.firstByte = found.pathLatency + callTime + found.queueDelay
+	found.callTime = found.pathLatency + e.service.callTime(s.now) + found.queueDelay
 	found.cost = time.Duration(min(busy/e.slots(), 1) * float64(callTime))
 }
--- a/serving/placement/estimate_test.go
+++ b/serving/placement/estimate_test.go
@@ -88,6 +88,7 @@
 	w := newFixture(t, "e1", modelEndpoints("e1", 1)...)
 	request := w.request("review", 1)
 	request.PromptTokens = 200_000
+	request.TimeLeft = 10 * time.Second // prefilling it takes nearly seven
 	choice, _ := w.Pick(w.now, request)
 	e := choice.Reservation.call.endpoint
 	window := e.window
--- a/serving/placement/pick.go
+++ b/serving/placement/pick.go
@@ -34,9 +34,6 @@
 	if s.best.endpoint == nil {
 		return Choice{}, p.waitOrReject(&s)
 	}
-	if s.best.queueDelay > request.TimeLeft {
-		return Choice{}, p.reject(s.best.queueDelay - request.TimeLeft)
-	}
 	if len(service.queue.tickets) > 0 {
 		if ticket := s.newTicket(); service.queue.mustYield(ticket, s.best.endpoint, s.freeSlots) {
 			return Choice{}, p.waitForSlot(&s, ticket)
@@ -48,13 +45,14 @@
 // newSearch returns a search for a request among the endpoints of a service.
 func (p *Picker) newSearch(now time.Time, service *service, request *Request) candidateSearch {
 	return candidateSearch{
-		now:           now,
-		ownRegion:     p.options.Region,
-		request:       request,
-		service:       service,
-		priority:      priorityOf(request.Route.Precedence),
-		retryIn:       unknownDelay,
-		pinnedVersion: p.pinnedVersion(request, service.name),
+		now:            now,
+		ownRegion:      p.options.Region,
+		request:        request,
+		service:        service,
+		priority:       priorityOf(request.Route.Precedence),
+		retryIn:        unknownDelay,
+		lateQueueDelay: unknownDelay,
+		pinnedVersion:  p.pinnedVersion(request, service.name),
 	}
 }
 
--- a/serving/placement/queueing.go
+++ b/serving/placement/queueing.go
@@ -41,6 +41,8 @@
 // waitOrReject decides what to do with a request for which no endpoint is eligible now.
 func (p *Picker) waitOrReject(s *candidateSearch) Decision {
 	switch {
+	case s.lateQueueDelay != unknownDelay:
+		return p.reject(s.lateQueueDelay)
 	case s.retryIn == unknownDelay:
 		return p.reject(noEndpointRetryAfter) // another proxy may know of an endpoint
 	case s.sawFullWindow:
--- a/serving/placement/request.go
+++ b/serving/placement/request.go
@@ -19,9 +19,9 @@
 	Route *routing.Route
 	// Service is the service that an earlier call of Pick for this request chose from a split route; empty: none.
 	Service         string
-	Model           string // empty: any model
-	PromptTokens    int    // of all blocks together; zero: the sum of Blocks
-	MaxOutputTokens int
+	Model           string        // empty: any model
+	PromptTokens    int           // of all blocks together; zero: the sum of Blocks
+	MaxOutputTokens int           // of the response, or of the part of it that the client has not received yet
 	Blocks          []PrefixBlock // in order; all but the last may be shared with requests of other sessions
 	TimeLeft        time.Duration // until the request's deadline
 	// QueuedFor is the time since the request arrived. Together with TimeLeft it is the time that the client gave the
--- a/serving/placement/rollout_draw.go
+++ b/serving/placement/rollout_draw.go
@@ -55,10 +55,9 @@
 	return p.reserveBest(&s)
 }
 
-// reserveBest reserves the best endpoint that the search has found. It returns false if there is none, or if its
-// queueing delay exceeds the request's time left.
+// reserveBest reserves the best endpoint that the search has found. It returns false if there is none.
 func (p *Picker) reserveBest(s *candidateSearch) (Choice, bool) {
-	if s.best.endpoint == nil || s.best.queueDelay > s.request.TimeLeft {
+	if s.best.endpoint == nil {
 		return Choice{}, false
 	}
 	return p.reserve(s), true
