Told waits follow from when an endpoint is expected to be free

What callers saw: a Retry-After between 100 ms and 2 s, or between an eighth and a quarter of the route's latency target after endpoints had rejected, whatever the time until there was room and the time that the caller had. A caller could be told to return when a call could no longer end in its time.

Cause: fixed bounds in placement, a share of the target in httpserver.

Change: the Retry-After is the time until a call in flight is expected to end, behind those that wait, the end of the shortest backoff, or the queueing delay of the endpoint that is nearest to being in time, with jitter upwards; at most what leaves the caller the time of a call, and a third of its time, which is what clients honor. Picker.RetryAfter gives the same after endpoints have rejected a request.

--- a/serving/httpserver/buffered_test.go
+++ b/serving/httpserver/buffered_test.go
@@ -145,6 +145,19 @@
 	}
 }
 
+// TestForward_RetryAfterOfThePicker: a client whose request endpoints have rejected is told when the picker expects one
+// to be free, whatever the route's latency target is, and never more than it honors.
+func TestForward_RetryAfterOfThePicker(t *testing.T) {
+	for wanted, told := range map[time.Duration]string{500 * time.Millisecond: "0.500", time.Minute: "1.66", 0: "0.020"} {
+		full := respondWith(rejectedResponse)
+		proxy := newTestProxy(t, full, full, full) // as many as the route allows attempts
+		proxy.picker.retryAfter = wanted
+		response := proxy.do(proxy.request("/once/x", ""))
+		assert.Equal(t, 503, response.status)
+		assert.Contains(t, response.header.Get("Retry-After"), told)
+	}
+}
+
 func TestForward_NoEndpoint(t *testing.T) {
 	proxy := newTestProxy(t)
 	response := proxy.do(proxy.request("/once/x", ""))
--- a/serving/httpserver/finish.go
+++ b/serving/httpserver/finish.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -10,10 +9,6 @@
 	"rowanlink/serving/errcode"
 )
 
-// rejectedTargetDivisor divides the route's latency target; the result is the shortest Retry-After of a request that
-// endpoints rejected. It is long enough for slots to become free, and short enough for a response within the target.
-const rejectedTargetDivisor = 8
-
 // respondUnserved responds to a request that gets no further attempt: with a rejection if no endpoint can have run it,
 // otherwise with a failure.
 func (f *forwarder) respondUnserved(ctx context.Context) {
@@ -21,22 +16,19 @@
 		f.respondFailed(ctx)
 		return
 	}
-	f.reject(ctx, errcode.NotExecuted, 0)
+	now := time.Now()
+	f.updatePlacement(now)
+	f.reject(ctx, errcode.NotExecuted, f.server.options.Picker.RetryAfter(now, f.placement))
 }
 
-// reject responds that no endpoint has run the request. The Retry-After is the wanted one or, if that is zero, a random
-// one that follows from the route's latency target. If an endpoint may have run the request, reject responds with a
-// failure instead.
-func (f *forwarder) reject(ctx context.Context, kind errcode.Kind, wanted time.Duration) {
+// reject responds that no endpoint has run the request, and when the client should send it again. If an endpoint may
+// have run the request, reject responds with a failure instead.
+func (f *forwarder) reject(ctx context.Context, kind errcode.Kind, retryAfter time.Duration) {
 	if f.mayHaveRun || f.stream.started {
 		f.respondFailed(ctx)
 		return
 	}
-	if wanted <= 0 {
-		base := f.route.LatencyTarget / rejectedTargetDivisor
-		wanted = base + randomBelow(base)
-	}
-	respondError(f.writer, kind, clampRetryAfter(wanted, time.Until(f.deadline)))
+	respondError(f.writer, kind, clampRetryAfter(retryAfter, time.Until(f.deadline)))
 }
 
 // respondExpired responds to a request whose deadline has passed before an endpoint was picked.
@@ -75,11 +67,3 @@
 	}
 	panic(http.ErrAbortHandler)
 }
-
-// randomBelow returns a random duration in [0, limit).
-func randomBelow(limit time.Duration) time.Duration {
-	if limit <= 0 {
-		return 0
-	}
-	return time.Duration(rand.Int64N(int64(limit)))
-}
--- a/serving/httpserver/forward.go
+++ b/serving/httpserver/forward.go
@@ -74,12 +74,7 @@
 func (f *forwarder) pickEndpoint(ctx context.Context) (placement.Choice, bool) {
 	for {
 		now := time.Now()
-		f.placement.TimeLeft = f.deadline.Sub(now)
-		f.placement.QueuedFor = now.Sub(f.arrivedAt)
-		f.placement.Service = f.service
-		f.placement.TriedEndpoints = f.triedEndpoints
-		f.placement.Resumed = f.stream.started
-		f.placement.MaxOutputTokens = f.outputTokensLeft()
+		f.updatePlacement(now)
 		if f.placement.TimeLeft <= 0 {
 			f.respondExpired(ctx)
 			return placement.Choice{}, false
@@ -105,6 +100,16 @@
 	}
 }
 
+// updatePlacement brings the description of the request for the picker up to date.
+func (f *forwarder) updatePlacement(now time.Time) {
+	f.placement.TimeLeft = f.deadline.Sub(now)
+	f.placement.QueuedFor = now.Sub(f.arrivedAt)
+	f.placement.Service = f.service
+	f.placement.TriedEndpoints = f.triedEndpoints
+	f.placement.Resumed = f.stream.started
+	f.placement.MaxOutputTokens = f.outputTokensLeft()
+}
+
 // outputTokensLeft returns the most tokens of the response that the client has not received yet.
 func (f *forwarder) outputTokensLeft() int {
 	service, known := f.table.Service(f.service)
--- a/serving/httpserver/helpers_test.go
+++ b/serving/httpserver/helpers_test.go
@@ -41,6 +41,7 @@
 	decisions      []placement.Decision // of the first picks; with the kind Picked, an endpoint is picked as usual
 	requests       []placement.Request
 	outcomes       []attempt.Outcome
+	retryAfter     time.Duration
 	reuseEndpoints bool // the same endpoint may be picked again for a request
 }
 
@@ -64,6 +65,8 @@
 	return placement.Choice{}, placement.Decision{Kind: placement.Reject, Delay: 100 * time.Millisecond}
 }
 
+func (p *fakePicker) RetryAfter(time.Time, placement.Request) time.Duration { return p.retryAfter }
+
 func (p *fakePicker) ReportProgress(time.Time, placement.Reservation) {}
 
 func (p *fakePicker) ReportOutcome(_ time.Time, _ placement.Reservation, outcome attempt.Outcome) {
--- a/serving/placement/pick.go
+++ b/serving/placement/pick.go
@@ -17,7 +17,7 @@
 	defer p.mutex.Unlock()
 	service := p.pickService(&request)
 	if service == nil || request.TimeLeft <= 0 {
-		return Choice{}, p.reject(noEndpointRetryAfter)
+		return Choice{}, Decision{Kind: Reject, Delay: noEndpointRetryAfter}
 	}
 	if draw, drawn := p.drawTarget(now, service, &request); drawn {
 		if choice, picked := p.pickFromTarget(now, draw, &request); picked {
@@ -29,7 +29,7 @@
 	request.leaveQueue(now, &service.queue)
 	p.searchRegions(&s)
 	if s.best.endpoint == nil && s.lacksPinnedVersion() {
-		return Choice{}, p.reject(noEndpointRetryAfter)
+		return Choice{}, Decision{Kind: Reject, Delay: noEndpointRetryAfter}
 	}
 	if s.best.endpoint == nil {
 		return Choice{}, p.waitOrReject(&s)
--- a/serving/placement/queueing.go
+++ b/serving/placement/queueing.go
@@ -21,11 +21,9 @@
 	maxPollInterval = 300 * time.Millisecond
 	// unknownDelay stands for a time that is not known.
 	unknownDelay time.Duration = math.MaxInt64
-	// noEndpointRetryAfter is the Retry-After of a request whose service has no usable endpoint.
+	// noEndpointRetryAfter is the Retry-After of a request whose service has no usable endpoint. Another proxy may know
+	// one.
 	noEndpointRetryAfter = 300 * time.Millisecond
-
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = time.Second
 )
 
 // remainingQueueTime returns how much longer the request may wait for an endpoint. A call that begins at the end of that
@@ -41,14 +39,10 @@
 // waitOrReject decides what to do with a request for which no endpoint is eligible now.
 func (p *Picker) waitOrReject(s *candidateSearch) Decision {
 	switch {
-	case s.lateQueueDelay != unknownDelay:
-		return p.reject(s.lateQueueDelay)
-	case s.retryIn == unknownDelay:
-		return p.reject(noEndpointRetryAfter) // another proxy may know of an endpoint
 	case s.sawFullWindow:
 		return p.waitForSlot(s, s.newTicket())
-	case s.retryIn > s.remainingQueueTime():
-		return p.reject(s.retryIn)
+	case s.lateQueueDelay != unknownDelay || s.retryIn > s.remainingQueueTime():
+		return p.reject(s)
 	}
 	return Decision{Kind: Wait, Delay: max(min(s.retryIn, maxPollInterval), minPollInterval)}
 }
@@ -60,7 +54,7 @@
 	queue := &s.service.queue
 	queueTime := s.remainingQueueTime()
 	if queueTime < minPollInterval || s.shortestSlotDelay(queue.countAhead(ticket)) > queueTime {
-		return p.reject(s.expectedSlotDelay(len(queue.tickets)))
+		return p.reject(s)
 	}
 	delay := max(min(p.jitter(slotPollInterval), queueTime), minPollInterval)
 	ticket.expiresAt = s.now.Add(delay + slotPollInterval)
@@ -68,10 +62,47 @@
 	return Decision{Kind: Wait, Delay: delay, Ticket: ticket}
 }
 
-// reject rejects the request. retryIn is the time until an endpoint is expected to become eligible; the Retry-After is
-// that time, within minRetryAfter and maxRetryAfter, with jitter.
-func (p *Picker) reject(retryIn time.Duration) Decision {
-	return Decision{Kind: Reject, Delay: p.jitter(min(max(retryIn, minRetryAfter), maxRetryAfter))}
+// reject rejects the request.
+func (p *Picker) reject(s *candidateSearch) Decision {
+	return Decision{Kind: Reject, Delay: p.retryAfter(s)}
+}
+
+// retryAfter returns when a client should send a rejected request again: once an endpoint is expected to be free for it,
+// with jitter so that not all come at the same moment, but early enough that a call can still end in the client's time.
+func (p *Picker) retryAfter(s *candidateSearch) time.Duration {
+	wanted := p.jitter(s.expectedDelay())
+	return max(min(wanted, s.request.TimeLeft-s.shortestCallTime()), 0)
+}
+
+// expectedDelay returns the time until an endpoint is expected to be free for the request; zero if one is.
+func (s *candidateSearch) expectedDelay() time.Duration {
+	expected := s.retryIn
+	switch {
+	case s.best.endpoint != nil && len(s.service.queue.tickets) == 0:
+		return 0
+	case s.lateQueueDelay != unknownDelay:
+		expected = s.lateQueueDelay
+	case s.best.endpoint != nil || s.sawFullWindow:
+		expected = s.expectedSlotDelay(len(s.service.queue.tickets)) // once all that wait now have got a slot
+	}
+	if expected == unknownDelay {
+		return noEndpointRetryAfter
+	}
+	return expected
+}
+
+// RetryAfter returns after which time a client should send a request again that endpoints have rejected or not received.
+func (p *Picker) RetryAfter(now time.Time, request Request) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	service := p.pickService(&request)
+	if service == nil {
+		return noEndpointRetryAfter
+	}
+	s := p.newSearch(now, service, &request)
+	p.prepareSearch(&s)
+	p.searchRegions(&s)
+	return p.retryAfter(&s)
 }
 
 // jitter returns a random duration between the given one and twice that.
