The operator's precedence alone ranks prompts, not their size

What callers saw: a caller whose prompt was prefilled within a twentieth of its route's latency target went before every rank, in this proxy's estimates and as Priority 0 at the endpoints, so that routes of the highest precedence waited behind others.

Change: the priority of a call is the precedence of its route.

--- a/serving/httpserver/call.go
+++ b/serving/httpserver/call.go
@@ -36,7 +36,7 @@
 	if known {
 		call.MaxConnections = f.server.options.ConnectionShare(service)
 		if service.Engine != nil {
-			call.Priority = priority(f.route, choice.ShortPrefill)
+			call.Priority = priority(f.route)
 		}
 	}
 	if f.route.Idempotent() {
@@ -47,10 +47,7 @@
 }
 
 // priority returns the priority that is sent to endpoints: the route's precedence, limited to the range that endpoints
-// accept, or the highest priority for prompts that take little time to prefill.
-func priority(route *routing.Route, shortPrefill bool) string {
-	if shortPrefill {
-		return strconv.Itoa(highestPriority)
-	}
+// accept. The operator's precedence alone ranks requests, not their size.
+func priority(route *routing.Route) string {
 	return strconv.Itoa(min(max(route.Precedence, highestPriority), lowestPriority))
 }
--- a/serving/placement/pick.go
+++ b/serving/placement/pick.go
@@ -7,10 +7,6 @@
 	"rowanlink/serving/routing"
 )
 
-// shortPrefillShare is the share of the latency target within which a prompt must be prefilled to get the highest
-// priority.
-const shortPrefillShare = 0.05
-
 // Pick selects the endpoint for a request. The choice is empty unless the decision is Picked.
 func (p *Picker) Pick(now time.Time, request Request) (Choice, Decision) {
 	p.mutex.Lock()
@@ -106,17 +102,12 @@
 func (p *Picker) reserve(s *candidateSearch) Choice {
 	best := &s.best
 	e := best.endpoint
-	shortPrefill := s.hasShortPrefill()
-	priority := s.priority
-	if shortPrefill {
-		priority = 0
-	}
 	c := &call{
 		endpoint:          e,
 		route:             s.request.Route.Name,
 		isLoadProbe:       s.loadProbe != nil,
 		sentAt:            s.now,
-		priority:          priority,
+		priority:          s.priority,
 		pathLatency:       best.pathLatency,
 		uncachedTokens:    best.uncachedTokens,
 		tokensAhead:       best.tokensAhead,
@@ -144,16 +135,5 @@
 		Endpoint:          e.info,
 		Reservation:       Reservation{call: c},
 		ExpectedFirstByte: best.firstByte,
-		ShortPrefill:      shortPrefill,
 	}
 }
-
-// hasShortPrefill reports whether the chosen endpoint prefills the prompt within a small share of the latency target.
-// Such a request delays others only for a moment, but would itself miss its target behind a few long prompts.
-func (s *candidateSearch) hasShortPrefill() bool {
-	if !s.service.hasEngine() || s.promptTokens == 0 {
-		return false
-	}
-	prefillTime := s.service.prefillTime(s.best.uncachedTokens)
-	return float64(prefillTime) <= shortPrefillShare*float64(s.request.Route.LatencyTarget)
-}
--- a/serving/placement/request.go
+++ b/serving/placement/request.go
@@ -62,9 +62,6 @@
 	Reservation Reservation
 	// ExpectedFirstByte is the estimated time until the first byte of the response.
 	ExpectedFirstByte time.Duration
-	// ShortPrefill: the prompt takes so little time to prefill that the request gets the highest priority in the
-	// endpoint's queue, regardless of its route's precedence.
-	ShortPrefill bool
 }
 
 // Reservation stands for a call's share of its endpoint's capacity. Each must end in Picker.ReportOutcome. The zero
