Windows start with this proxy's part of an endpoint's slots

What callers saw: each proxy sent a new endpoint half of its slots at once, so that two proxies filled it and requests of further ones were rejected or queued there; or, on a large one, nothing.

Change: the window starts with HealthyShare of the slots divided by the proxies of the region, at least one (the design leaves the start free). Bursts wait for slots, and each success adds one.

Evidence: TestWindow_AllProxiesTogetherStartWithinTheSlots. The burst of short calls that was served within 250 ms still is.

--- a/serving/placement/burst_test.go
+++ b/serving/placement/burst_test.go
@@ -110,13 +110,15 @@
 	})
 }
 
-// TestBurst_OfShortCallsIsServed: 20 calls of 30 ms at 8 slots, of which half are used at first, take 150 ms; they may
-// queue for 250 ms.
+// TestBurst_OfShortCallsIsServed: 20 calls of 30 ms at 8 slots, of which this proxy uses its part at first, take 150 ms at
+// most. They may queue for 250 ms: two thirds of their client's time.
 func TestBurst_OfShortCallsIsServed(t *testing.T) {
 	endpoints := plainEndpoints("plain", "e1")
 	endpoints[0].Slots = 8
 	w := newFixture(t, "e1", endpoints...)
-	b := newBurst(w, 20, w.request("plain", 0), 30*time.Millisecond)
+	request := w.request("plain", 0)
+	request.TimeLeft = 376 * time.Millisecond
+	b := newBurst(w, 20, request, 30*time.Millisecond)
 	b.run()
 	assert.Empty(t, b.rejectedAfter)
 	assert.Equal(t, 20, b.served+len(b.endAt))
--- a/serving/placement/endpoint.go
+++ b/serving/placement/endpoint.go
@@ -44,7 +44,10 @@
 	prefixCache prefixCache
 }
 
-func newEndpoint(service *service, info state.Endpoint) *endpoint {
+// newEndpoint returns the state of an endpoint of which nothing is known yet. Its window is this proxy's part of the slots
+// that windows may use: what all proxies of the region together send at first finds a slot, and no client's request is
+// rejected or queued at the endpoint only because they all begin at once.
+func newEndpoint(service *service, info state.Endpoint, proxiesInRegion int) *endpoint {
 	e := &endpoint{
 		info:        info,
 		service:     service,
@@ -52,7 +55,7 @@
 		regionGroup: &region{},
 		hash:        hashString(fnvOffset, info.ID),
 	}
-	e.window = math.Ceil(initialWindowShare * e.slots())
+	e.window = math.Ceil(backoff.HealthyShare * e.slots() / float64(proxiesInRegion))
 	return e
 }
 
@@ -61,9 +64,6 @@
 
 // Parameters of the concurrency windows. The growth and the shares are those of package backoff.
 const (
-	// initialWindowShare is the share of the slots that a window starts with. With less, a burst on an idle endpoint
-	// would be rejected while most of its slots are free.
-	initialWindowShare = 0.5
 	// windowStep is the growth of a window after a successful call.
 	windowStep = 1.0
 	// slowQueueDelay is the mean queueing delay above which calls may use only backoff.UnhealthyShare of the slots.
--- a/serving/placement/snapshot.go
+++ b/serving/placement/snapshot.go
@@ -138,7 +138,7 @@
 	if former := p.endpoints[info.ID]; former != nil {
 		former.service.ownersChanged = true
 	}
-	e := newEndpoint(p.serviceOf(info), *info)
+	e := newEndpoint(p.serviceOf(info), *info, p.proxiesInRegion)
 	e.warmup.evacuationEndedAt = p.evacuationEndedAt[info.Zone]
 	p.endpoints[info.ID] = e
 	return e
--- a/serving/placement/warmup_test.go
+++ b/serving/placement/warmup_test.go
@@ -88,7 +88,7 @@
 			for index := range count {
 				p := New(Options{Name: fmt.Sprint("machine-", index), Bounds: bounds})
 				p.proxyCount = count
-				e := newEndpoint(p.ensureService("model"), state.Endpoint{ID: fmt.Sprint("i-", endpoint)})
+				e := newEndpoint(p.ensureService("model"), state.Endpoint{ID: fmt.Sprint("i-", endpoint)}, 1)
 				e.service.config, _ = table.Service("model")
 				senders += p.warmupQuota(e)
 			}
--- a/serving/placement/window_test.go
+++ b/serving/placement/window_test.go
@@ -10,6 +10,7 @@
 
 	"rowanlink/serving/attempt"
 	"rowanlink/serving/state"
+	"rowanlink/serving/subscription"
 )
 
 func TestWindow_Invariants(t *testing.T) {
@@ -43,6 +44,21 @@
 	})
 }
 
+// TestWindow_AllProxiesTogetherStartWithinTheSlots: before anything is known of an endpoint, the proxies of its region
+// together send it no more than it has slots for.
+func TestWindow_AllProxiesTogetherStartWithinTheSlots(t *testing.T) {
+	for _, proxies := range []int{1, 2, 7, 30, 200} {
+		w := newFixture(t, "e1")
+		w.snapshot.Proxies = subscription.ProxyCounts{Live: 2 * proxies, MaxRunning: 2 * proxies, LiveInRegion: proxies}
+		w.snapshot.Endpoints = modelEndpoints("e1", 1)
+		w.update()
+		sent := w.endpoints["e1-0"].concurrencyLimit(w.now)
+		assert.GreaterOrEqual(t, sent, 1)
+		assert.LessOrEqual(t, proxies*sent, max(128, proxies))
+		assert.Greater(t, proxies*(sent+1), 96, "and not much less than windows may use")
+	}
+}
+
 func TestWindow_GrowsByOneAndHalvesOncePerBurst(t *testing.T) {
 	w := newFixture(t, "e1", modelEndpoints("e1", 1)...)
 	e := w.endpoints["e1-0"]
