An attempt is given up by what is expected of its endpoint and what is left

What callers saw: an attempt at a plain service was given up after half of the route's latency target, at a language model after twice the target, and a stream after twice its target for gaps: a caller's wait on a hung endpoint depended on the operator's target. An attempt was given up even if no second one could be in time, and with it what the endpoint might still have answered.

Cause: targetDivisor, llmTargetFactor and gapFactor, shares of the targets.

Change: the timeout is three times the expected time to first byte, or that time and four mean deviations (RFC 6298), at least 100 ms. For language models and for gaps of streams it is at least a second: clients give a stream up after two seconds of silence (PROTOCOL), and the next endpoint gets the other half; a gap that the route allows is never a reason. An attempt isn't given up if another call is not expected to end (or a stream to be resumed) in the time left.

--- a/serving/httpserver/call.go
+++ b/serving/httpserver/call.go
@@ -40,7 +40,7 @@
 		}
 	}
 	if f.route.Idempotent() {
-		call.ProgressTimeout = firstByteTimeout(f.route, service, choice.ExpectedFirstByte)
+		call.ProgressTimeout = firstByteTimeout(service, choice)
 		call.MayAbandon = f.mayAbandonAttempt
 	}
 	return call
--- a/serving/httpserver/forward.go
+++ b/serving/httpserver/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"rowanlink/internal/ctxsleep"
@@ -28,7 +29,10 @@
 	triedEndpoints  []string // their IDs, in the order of the attempts
 	mayHaveRun      bool     // an endpoint may have run the request
 	lastOutcome     attempt.Outcome
-	service         string          // of the last attempt's endpoint
+	service         string        // of the last attempt's endpoint
+	expectedStart   time.Duration // of the current attempt, until the first byte
+	// nextAttemptTime is the time that another attempt is expected to need, in nanoseconds, see mayAbandonAttempt.
+	nextAttemptTime atomic.Int64
 	grantedRetry    *retry.Decision // set by mayAbandonAttempt when it abandons the attempt; nil: not abandoned
 
 	endpointError *bufferedResponse // an endpoint's error response, relayed if no attempt succeeds
@@ -135,6 +139,11 @@
 	f.service = choice.Endpoint.Service
 	call := f.newCall(choice)
 	f.triedEndpoints = append(f.triedEndpoints, choice.Endpoint.ID)
+	f.expectedStart = choice.ExpectedFirstByte
+	f.nextAttemptTime.Store(int64(choice.ExpectedCallTime))
+	if f.stream.started {
+		f.nextAttemptTime.Store(int64(choice.ExpectedFirstByte))
+	}
 	f.grantedRetry = nil
 	response, failure := f.server.options.Pool.Do(ctx, call)
 	if failure != nil {
--- a/serving/httpserver/retry.go
+++ b/serving/httpserver/retry.go
@@ -52,9 +52,12 @@
 	}
 }
 
-// mayAbandonAttempt decides whether to abandon an attempt that makes no progress: only if the retry policy grants
-// another attempt. It runs on another goroutine while the handler's goroutine waits for the endpoint.
+// mayAbandonAttempt decides whether to abandon an attempt that makes no progress: only if another attempt is expected to
+// be in time, or to resume in time the stream of which the client has a part, and the retry policy grants it. It runs on another goroutine while the handler's goroutine waits for the endpoint.
 func (f *forwarder) mayAbandonAttempt() bool {
+	if time.Until(f.deadline) < time.Duration(f.nextAttemptTime.Load()) {
+		return false
+	}
 	decision := f.decideRetry(retry.FailedAttempt{
 		Number:          f.attempts,
 		Outcome:         attempt.TimedOut,
--- a/serving/httpserver/stream.go
+++ b/serving/httpserver/stream.go
@@ -50,6 +50,7 @@
 		ended := errors.Is(err, io.EOF)
 		if len(events) > 0 || ended {
 			f.server.options.Picker.ReportProgress(time.Now(), reservation)
+			f.nextAttemptTime.Store(int64(f.expectedStart))
 			response.SetProgressTimeout(streamIdleTimeout(f.route))
 			if !f.relayEvents(response, events) {
 				return attempt.Canceled, nextAbort
--- a/serving/httpserver/timeouts.go
+++ b/serving/httpserver/timeouts.go
@@ -3,47 +3,45 @@
 import (
 	"time"
 
+	"rowanlink/serving/placement"
 	"rowanlink/serving/routing"
 )
 
+// minClientSilence is the shortest silence after which clients give a stream up, also before its first event (PROTOCOL,
+// "Requests").
+const minClientSilence = 2 * time.Second
+
 // Parameters of the first-byte timeout: an idempotent request's attempt that has no first byte by then is abandoned and
 // retried at another endpoint. The timeout is the largest of the lower bounds that these parameters define.
 const (
 	// expectedFactor is multiplied by the expected time to first byte.
 	expectedFactor = 3
-	// targetDivisor divides the latency target, for services whose requests are short and cheap to run: the next
-	// endpoint may still respond within the target.
-	targetDivisor = 2
-	// llmTargetFactor is multiplied by the latency target, for language models: the prefill of an abandoned attempt is
-	// wasted and delays all other requests, and after the target the response is late whichever endpoint sends it.
-	llmTargetFactor = 2
-	// minFirstByteTimeout is the shortest timeout, for instance without a latency target.
+	// deviationFactor is multiplied by the mean deviation of first bytes from the expected time, which is added to that
+	// time (as in RFC 6298, section 2).
+	deviationFactor = 4
+	// minFirstByteTimeout is the shortest timeout of services whose requests are short and cheap to run.
 	minFirstByteTimeout = 100 * time.Millisecond
+	// minPrefillTimeout is the shortest timeout of language models: prompts of other proxies, which this one doesn't
+	// know, may come first, and the prefill of an abandoned attempt is wasted and delays all other requests. Half of the
+	// silence that a client bears is left for the first event of the next attempt.
+	minPrefillTimeout = minClientSilence / 2
 )
 
-// firstByteTimeout returns how long an attempt at an endpoint of the service may take until its first byte.
-func firstByteTimeout(route *routing.Route, service *routing.Service, expected time.Duration) time.Duration {
-	least := route.LatencyTarget / targetDivisor
+// firstByteTimeout returns how long an attempt at the chosen endpoint of the service may take until its first byte.
+func firstByteTimeout(service *routing.Service, choice placement.Choice) time.Duration {
+	least := minFirstByteTimeout
 	if service != nil && service.Engine != nil {
-		least = route.LatencyTarget * llmTargetFactor
+		least = minPrefillTimeout
 	}
-	return max(least, expectedFactor*expected, minFirstByteTimeout)
+	expected := choice.ExpectedFirstByte
+	return max(least, expectedFactor*expected, expected+deviationFactor*choice.FirstByteDeviation)
 }
 
-const (
-	// gapFactor is multiplied by the route's target for gaps between events, to get the timeout of a resumable stream.
-	gapFactor = 2
-	// defaultStreamIdleTimeout is the timeout of a resumable stream if the route has no target for gaps.
-	defaultStreamIdleTimeout = time.Second
-)
-
-// streamIdleTimeout returns after how long without an event a stream is resumed at another endpoint; zero: never.
+// streamIdleTimeout returns after how long without an event a stream is resumed at another endpoint; zero: never. It is
+// no shorter than the gaps that the route allows, and leaves the next endpoint half of the silence that a client bears.
 func streamIdleTimeout(route *routing.Route) time.Duration {
-	switch {
-	case !route.Resumable:
+	if !route.Resumable {
 		return 0
-	case route.GapTarget <= 0:
-		return defaultStreamIdleTimeout
 	}
-	return gapFactor * route.GapTarget
+	return max(minClientSilence/2, route.GapTarget)
 }
--- a/serving/placement/pick.go
+++ b/serving/placement/pick.go
@@ -132,8 +132,10 @@
 		e.service.recordUncachedTokens(best.uncachedTokens)
 	}
 	return Choice{
-		Endpoint:          e.info,
-		Reservation:       Reservation{call: c},
-		ExpectedFirstByte: best.firstByte,
+		Endpoint:           e.info,
+		Reservation:        Reservation{call: c},
+		ExpectedFirstByte:  best.firstByte,
+		FirstByteDeviation: e.service.firstByteDeviation.meanAt(s.now),
+		ExpectedCallTime:   best.callTime,
 	}
 }
--- a/serving/placement/report.go
+++ b/serving/placement/report.go
@@ -55,6 +55,7 @@
 func recordFirstByte(now time.Time, c *call) {
 	s := c.endpoint.service
 	measured := now.Sub(c.sentAt)
+	s.firstByteDeviation.add(now, (measured - c.expectedFirstByte).Abs())
 	queueDelay := max(measured-c.modeledFirstByte, 0)
 	for priority := c.priority; priority < priorityLevels; priority++ {
 		c.endpoint.queueDelays[priority].add(now, queueDelay)
--- a/serving/placement/request.go
+++ b/serving/placement/request.go
@@ -62,6 +62,10 @@
 	Reservation Reservation
 	// ExpectedFirstByte is the estimated time until the first byte of the response.
 	ExpectedFirstByte time.Duration
+	// FirstByteDeviation is the mean deviation from that time of the service's recent responses.
+	FirstByteDeviation time.Duration
+	// ExpectedCallTime is the estimated time until the end of the response.
+	ExpectedCallTime time.Duration
 }
 
 // Reservation stands for a call's share of its endpoint's capacity. Each must end in Picker.ReportOutcome. The zero
--- a/serving/placement/work_left.go
+++ b/serving/placement/work_left.go
@@ -6,8 +6,10 @@
 // deadline. Without new measurements the estimates decay to zero: a service that was slow would otherwise never be tried
 // again by requests with less time than it took.
 type workModel struct {
-	calls       decayingMean // duration of successful calls, without the path
-	outputToken decayingMean // time from the first byte to the end of a response, for each token that the client asked for
+	calls decayingMean // duration of successful calls, without the path
+	// firstByteDeviation is by how much times to first byte differ from the expected ones.
+	firstByteDeviation decayingMean
+	outputToken        decayingMean // time from the first byte to the end of a response, for each token that the client asked for
 }
 
 // recordCall updates the model by a successful call that has ended.
