TestSuspendedCore waits until the suspended process has stopped

SIGSTOP takes effect after kill returns, so a thread of a busy process answered a read that came right after it. The test, and TestDeparture_StoppedProxyDelaysNoAcknowledgement, now wait until no thread runs (procstate.AllThreadsStopped, as the cluster's tests do); what they assert is the same.

--- a/test/integration/serving/cluster_test.go
+++ b/test/integration/serving/cluster_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"rowanlink/serving/rpc"
 	"rowanlink/test/fake/endpoint"
 	"rowanlink/test/integration/subprocess"
+	"rowanlink/test/procstate"
 )
 
 const (
@@ -217,6 +219,13 @@
 	}
 }
 
+// stop suspends a process, and returns once none of its threads runs any more: SIGSTOP takes effect after kill returns.
+func (c *cluster) stop(n *node) {
+	c.t.Helper()
+	require.NoError(c.t, n.process.Signal(syscall.SIGSTOP))
+	c.eventually(n.name+" has stopped", func() bool { return procstate.AllThreadsStopped(n.process.PID()) })
+}
+
 // awaitReady waits until every proxy is ready and every directory names some.
 func (c *cluster) awaitReady() {
 	c.t.Helper()
--- a/test/integration/serving/control_test.go
+++ b/test/integration/serving/control_test.go
@@ -78,7 +78,7 @@
 	c := startCluster(t)
 	suspended := c.cores[0]
 	for round := range 3 {
-		require.NoError(t, suspended.process.Signal(syscall.SIGSTOP))
+		c.stop(suspended)
 		zone := locations[1].zone
 		unread := []operatorRequest{
 			{method: http.MethodPost, path: "/Clearance.Begin/" + zone},
--- a/test/integration/serving/departure_test.go
+++ b/test/integration/serving/departure_test.go
@@ -147,7 +147,7 @@
 func TestDeparture_StoppedProxyDelaysNoAcknowledgement(t *testing.T) {
 	c := startCluster(t)
 	c.awaitMembers()
-	require.NoError(t, c.proxies[0].process.Signal(syscall.SIGSTOP))
+	c.stop(c.proxies[0])
 	defer func() { require.NoError(t, c.proxies[0].process.Signal(syscall.SIGCONT)) }()
 	for i := range 2 {
 		begun := time.Now()
