In a roll-out, retries are drawn for the new version like first attempts

What callers saw: nothing by itself; operators saw fewer requests at the new version than the step's share, since no retry was ever sent there, whatever had failed before, and a request counted as having waited once it had been picked.

Cause: drawTarget passed over every request with tried endpoints. The caller's reason holds only for a request that the new version itself has failed.

Waited is true just after a decision to wait, so that each attempt is drawn once.

The reason why a retry goes to an untried endpoint first now stands at isUsable.

--- a/serving/httpserver/buffered_test.go
+++ b/serving/httpserver/buffered_test.go
@@ -165,6 +165,18 @@
 	assert.Equal(t, "0.100", response.header.Get("Retry-After"))
 }
 
+// TestForward_RetryHasNotWaited: for the picker, a retry is like a first attempt, even if that had to wait.
+func TestForward_RetryHasNotWaited(t *testing.T) {
+	proxy := newTestProxy(t, respondWith(rejectedResponse), respondWith(okResponse))
+	proxy.picker.decisions = []placement.Decision{{Kind: placement.Wait, Delay: time.Millisecond}}
+	assert.Equal(t, 200, proxy.do(proxy.request("/once/x", "")).status)
+	var waited []bool
+	for _, request := range proxy.picker.requests {
+		waited = append(waited, request.Waited)
+	}
+	assert.Equal(t, []bool{false, true, false}, waited)
+}
+
 func TestForward_WaitsForASlot(t *testing.T) {
 	proxy := newTestProxy(t, respondWith(okResponse))
 	proxy.picker.decisions = []placement.Decision{{Kind: placement.Wait, Delay: time.Millisecond}, {Kind: placement.Wait}}
--- a/serving/httpserver/forward.go
+++ b/serving/httpserver/forward.go
@@ -84,7 +84,7 @@
 			return placement.Choice{}, false
 		}
 		choice, decision := f.server.options.Picker.Pick(now, f.placement)
-		f.placement.Waited = true
+		f.placement.Waited = decision.Kind == placement.Wait
 		switch decision.Kind {
 		case placement.Picked:
 			if !f.stream.started {
--- a/serving/placement/eligibility.go
+++ b/serving/placement/eligibility.go
@@ -29,7 +29,9 @@
 	return delay, delay == 0
 }
 
-// isUsable reports whether the request may go to the endpoint at all, now or later.
+// isUsable reports whether the request may go to the endpoint at all, now or later. A retry goes to an endpoint that has
+// not failed it yet as long as there is one: an endpoint that has failed a request once often fails it again, and the
+// client's time is spent.
 func (s *candidateSearch) isUsable(e *endpoint) bool {
 	if e.excluded || !s.allowsRegion(e.region) || !s.allowsVersion(e) || e.isLoadProbe != (e == s.loadProbe) {
 		return false
--- a/serving/placement/request.go
+++ b/serving/placement/request.go
@@ -32,7 +32,7 @@
 	// Version is the software version of the endpoint that has sent that first part. If there has been a roll-out of the
 	// service, the stream is resumed on the same version only.
 	Version string
-	// Waited: an earlier call of Pick for this request has decided to wait.
+	// Waited: the last call of Pick for this request has decided to wait.
 	Waited bool
 	// Ticket is the one of the last decision to wait; nil: none.
 	Ticket *Ticket
--- a/serving/placement/rollouts_test.go
+++ b/serving/placement/rollouts_test.go
@@ -179,6 +179,31 @@
 	assert.Equal(t, Reject, decision.Kind, "no endpoint of its version is left")
 }
 
+// TestRollout_RetriesAreDrawnLikeFirstAttempts: a request whose first attempt failed at a version in force is sent to the
+// target as often as any other; one that failed at the target is not sent there again.
+func TestRollout_RetriesAreDrawnLikeFirstAttempts(t *testing.T) {
+	f := newRolloutFixture(t)
+	f.setRollout(state.RolloutInProgress, state.RolloutRamp)
+	atTarget := map[string]int{}
+	for subject := range 1000 {
+		f.now = f.now.Add(20 * time.Millisecond)
+		for _, tried := range []string{"v1-3", "v2-3"} {
+			request := f.shortRequest("urgent", subject)
+			request.Blocks, request.PromptTokens = nil, 500
+			request.TriedEndpoints = []string{tried}
+			choice, decision := f.Pick(f.now, request)
+			require.Equal(t, Picked, decision.Kind)
+			if choice.Endpoint.SoftwareVersion == "v2" {
+				atTarget[tried]++
+			}
+			f.ReportProgress(f.now.Add(time.Millisecond), choice.Reservation)
+			f.ReportOutcome(f.now.Add(2*time.Millisecond), choice.Reservation, attempt.Succeeded)
+		}
+	}
+	assert.InDelta(t, 250, atTarget["v1-3"], 10, "the share of the step")
+	assert.Zero(t, atTarget["v2-3"])
+}
+
 // TestRollout_VersionsWithoutAnOrder: endpoints of a version that no roll-out names get nothing at first, since an
 // order may be on its way, unless there are no others.
 func TestRollout_VersionsWithoutAnOrder(t *testing.T) {
