Other regions are looked at when the queue here is longer than the path there

What callers saw: with a target of ten seconds, a request stayed in a queue of 1.7 s here while an idle endpoint 75 ms away was not looked at; with a target of 50 ms, other regions were searched for nothing.

Cause: localSearchShare, a quarter of the latency target.

Change: the own region suffices if the queueing delay and added costs of its best endpoint are below what the path to the nearest other region adds.

--- a/serving/placement/candidates.go
+++ b/serving/placement/candidates.go
@@ -7,9 +7,6 @@
 	// owner, this proxy's subset and a random sample of sampleSize endpoints are.
 	maxFullScan = 24
 	sampleSize  = 6
-	// localSearchShare is a share of the latency target. Other regions aren't compared if both the queueing delay and the
-	// costs added for the own region's best endpoint are below it.
-	localSearchShare = 0.25
 )
 
 // candidateSearch is the state of one call of Pick.
@@ -58,7 +55,8 @@
 	}
 }
 
-// ownRegionSuffices reports whether the best endpoint of the own region needs no comparison with other regions.
+// ownRegionSuffices reports whether the best endpoint of the own region needs no comparison with other regions: what the
+// request could avoid there, queueing delay and added costs, is less than what the path to another region adds.
 func (p *Picker) ownRegionSuffices(s *candidateSearch) bool {
 	if s.best.endpoint == nil {
 		return false
@@ -66,8 +64,9 @@
 	if s.prefixRegion != nil && s.prefixRegion.name != p.options.Region {
 		return false
 	}
-	enough := time.Duration(localSearchShare * float64(s.request.Route.LatencyTarget))
-	return s.best.cost-s.best.firstByte < enough && s.best.queueDelay < enough
+	avoidable := s.best.cost - s.best.firstByte + s.best.queueDelay
+	added := p.shortestPathLatency() - s.best.pathLatency + crossRegionPenalty
+	return avoidable < added
 }
 
 // searchRegion compares the endpoints of a region.
--- a/serving/placement/eligibility_test.go
+++ b/serving/placement/eligibility_test.go
@@ -62,6 +62,23 @@
 	assert.Equal(t, Reject, decision.Kind, "no endpoint is left in the home region")
 }
 
+// TestPick_OtherRegionIfItSavesTime: a request leaves its region if the queue there takes longer than the path to
+// another region adds, whatever its route's latency target is.
+func TestPick_OtherRegionIfItSavesTime(t *testing.T) {
+	for _, target := range []time.Duration{50 * time.Millisecond, time.Second, 10 * time.Second} {
+		for queued, zone := range map[int]string{0: "e1", 20: "w1"} { // prompts of 2,600 tokens, 87 ms each
+			w := newFixture(t, "e1", append(modelEndpoints("e1", 1), modelEndpoints("w1", 1)...)...)
+			first, _ := w.Pick(w.now, w.shortRequest("home", 1))
+			w.ReportOutcome(w.now, first.Reservation, attempt.Succeeded)
+			w.snapshot.Loads = []state.Load{{EndpointID: "e1-0", Queued: queued, CacheTotal: 180_000, Measurement: 1}}
+			w.update()
+			choice, decision := w.Pick(w.now, withTarget(w.shortRequest("review", 2), target))
+			require.Equal(t, Picked, decision.Kind)
+			assert.Equal(t, zone, choice.Endpoint.Zone, "target %v, %d queued", target, queued)
+		}
+	}
+}
+
 func TestPick_SplitRouteFollowsWeightsAndRetriesUseSameService(t *testing.T) {
 	w := newFixture(t, "e1", append(plainEndpoints("plain", "e1", "e2"), plainEndpoints("other", "e1", "e2")...)...)
 	pickedByService := map[string]int{}
--- a/serving/placement/path_latency.go
+++ b/serving/placement/path_latency.go
@@ -25,16 +25,32 @@
 
 // longestPathLatency returns the round trip to the most distant other region.
 func (p *Picker) longestPathLatency() time.Duration {
-	longest := time.Duration(0)
+	_, longest := p.regionRoundTrips()
+	return longest
+}
+
+// shortestPathLatency returns the round trip to the nearest other region.
+func (p *Picker) shortestPathLatency() time.Duration {
+	shortest, _ := p.regionRoundTrips()
+	return shortest
+}
+
+// regionRoundTrips returns the shortest and the longest round trip to zones of other regions. While none is measured,
+// both are crossRegionLatency.
+func (p *Picker) regionRoundTrips() (shortest, longest time.Duration) {
 	for name, known := range p.zones {
-		if p.options.Regions[name] != p.options.Region {
-			longest = max(longest, known.roundTrip)
+		if known.roundTrip <= 0 || p.options.Regions[name] == p.options.Region {
+			continue
+		}
+		longest = max(longest, known.roundTrip)
+		if shortest == 0 || known.roundTrip < shortest {
+			shortest = known.roundTrip
 		}
 	}
 	if longest == 0 {
-		return crossRegionLatency
+		return crossRegionLatency, crossRegionLatency
 	}
-	return longest + sameZoneLatency
+	return shortest + sameZoneLatency, longest + sameZoneLatency
 }
 
 // SetRoundTrips sets the measured round trips, by zone.
