Prompt blocks that are cached twice cost what they cost other clients

What callers saw: the same cost of twice the prefill time whether an endpoint was idle or clients waited there.

Cause: recomputeWeight, 2 ("repeated prefill is priced", docs/decisions.md).

Change: prefilling shared blocks again costs the prefill time for each of this proxy's calls that wait at the endpoint, and once more for the client whose cached blocks they displace. Between regions, the prefill in each region is weighed with the request's own wait and that client's.

Evidence: TestEstimate_RecomputedBlocksCostOtherClientsTime.

--- a/serving/placement/estimate.go
+++ b/serving/placement/estimate.go
@@ -13,9 +13,9 @@
 	failureCost            = 600 * time.Millisecond // of an endpoint at which all calls fail
 	warmupCost             = 100 * time.Millisecond // of an endpoint that is warming up
 	overdueWeight          = 2                      // of the time by which an endpoint's response is overdue
-	// recomputeWeight is the weight of the time to prefill shared blocks that are cached elsewhere: prefilling them again
-	// delays other requests too.
-	recomputeWeight = 2
+	// displacedWeight is the weight of the time to prefill shared blocks that are cached elsewhere too: they displace as
+	// many other cached blocks, for whose prefill some other client then waits.
+	displacedWeight = 1
 	// loadReportTTL is how long an endpoint's load report is used.
 	loadReportTTL = 1500 * time.Millisecond
 	// maxCostJitter bounds the random cost that breaks ties.
@@ -92,7 +92,8 @@
 	found.callTime = found.firstByte + service.outputTime(s.now, s.request.MaxOutputTokens)
 
 	sharedUncached := max(s.sharedTokens-cached, 0)
-	found.cost += recomputeWeight * service.prefillTime(sharedUncached)
+	delayed := displacedWeight + len(e.awaitingFirstByte) // clients that wait longer, beside this request's own
+	found.cost += time.Duration(delayed) * service.prefillTime(sharedUncached)
 	utilization := float64(e.inFlight*p.proxiesInRegion) / e.slots()
 	found.cost += time.Duration(min(utilization, 1) * float64(utilizationCost))
 	if inUse := p.cacheUtilization(e); inUse > cachePressureThreshold {
--- a/serving/placement/estimate_test.go
+++ b/serving/placement/estimate_test.go
@@ -129,3 +129,23 @@
 	}
 	assert.Equal(t, map[string]int{"e1": 2, "e2": 2}, callsByZone)
 }
+
+// TestEstimate_RecomputedBlocksCostOtherClientsTime: shared blocks that are prefilled at another endpoint too cost as
+// much as the time by which they delay others: each client that waits there, and one whose cached blocks they displace.
+func TestEstimate_RecomputedBlocksCostOtherClientsTime(t *testing.T) {
+	w := newFixture(t, "e1", modelEndpoints("e1", 1)...)
+	e := w.endpoints["e1-0"]
+	added := func() time.Duration {
+		request := w.request("review", 9)
+		s := w.newSearch(w.now, e.service, &request)
+		w.prepareSearch(&s)
+		return w.estimateCost(&s, e, false).cost - w.estimateCost(&s, e, true).cost
+	}
+	prefill := e.service.prefillTime(2500 + 3800) // in the request's own time to first byte
+	assert.InDelta(t, 2*prefill, added(), float64(maxCostJitter))
+	for subject := range 2 {
+		_, decision := w.Pick(w.now, w.request("urgent", 4*subject)) // shares no block with the request
+		require.Equal(t, Picked, decision.Kind)
+	}
+	assert.InDelta(t, 4*prefill, added(), float64(maxCostJitter))
+}
--- a/serving/placement/prefix_owner.go
+++ b/serving/placement/prefix_owner.go
@@ -11,8 +11,8 @@
 	ownerLoadFactor = 2
 	ownerLoadSlack  = 4
 	// remotePrefixWeight is the weight of the time to prefill shared blocks when it is compared with the latency to
-	// another region.
-	remotePrefixWeight = 1 + recomputeWeight
+	// another region: this request waits for it, and so does the client whose cached blocks are displaced.
+	remotePrefixWeight = 1 + displacedWeight
 )
 
 // findPrefixRegion sets s.prefixRegion if prefilling the shared blocks of a prompt in each region costs more than
