A shutdown ends requests that wait for an endpoint with an answer

Cause: the phase that rejects requests looked only at new ones.

Change: from that phase on, a request that waits is rejected with the Retry-After of a shutdown, as another proxy can serve it at once. One that may have run, or whose client has part of a stream, goes on waiting.

Evidence: TestDrain_EndsWaitingRequestsWithAResponse (without the change, its request waits until its deadline).

--- a/serving/httpserver/drain.go
+++ b/serving/httpserver/drain.go
@@ -67,7 +67,7 @@
 	event.ProxyDraining.Log(s.options.Log).Int("requests", s.InFlight()).Send()
 }
 
-// rejectNewRequests makes the server reject all requests that arrive from now on.
+// rejectNewRequests makes the server reject all requests that arrive from now on, and those that wait for an endpoint.
 func (s *Server) rejectNewRequests() { s.rejecting.Store(true) }
 
 // stopListening closes the listener, so that no more connections are accepted.
--- a/serving/httpserver/drain_test.go
+++ b/serving/httpserver/drain_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"rowanlink/serving/placement"
 	"rowanlink/test/fake/scriptedendpoint"
 )
 
@@ -57,6 +59,22 @@
 	assert.Equal(t, []time.Duration{plan.serve, plan.reject, drainPollInterval}, sleeps[:3])
 }
 
+// TestDrain_EndsWaitingRequestsWithAResponse: a request that waits for an endpoint while its proxy shuts down is told to
+// try another proxy, before the process exits.
+func TestDrain_EndsWaitingRequestsWithAResponse(t *testing.T) {
+	proxy := newTestProxy(t, respondWith(okResponse))
+	proxy.picker.decisions = slices.Repeat([]placement.Decision{{Kind: placement.Wait, Delay: time.Millisecond}}, 100_000)
+	response := make(chan clientResponse)
+	go func() { response <- proxy.do(proxy.requestWithLongDeadline("/once/x", "")) }()
+	require.Eventually(t, func() bool { return proxy.server.InFlight() == 1 }, 10*time.Second, time.Millisecond)
+	proxy.server.startDraining()
+	proxy.server.rejectNewRequests()
+	got := <-response
+	assert.Equal(t, 503, got.status)
+	assert.True(t, got.complete)
+	assert.Equal(t, "0.020", got.header.Get("Retry-After"))
+}
+
 // TestDrain_WaitsForUnreadRequest: a request that has arrived on an idle connection but was not read yet is not among
 // the requests in flight. Drain must wait for it nevertheless.
 func TestDrain_WaitsForUnreadRequest(t *testing.T) {
--- a/serving/httpserver/forward.go
+++ b/serving/httpserver/forward.go
@@ -92,6 +92,10 @@
 			}
 			return choice, true
 		case placement.Wait:
+			if f.mustStopWaiting() {
+				f.reject(ctx, errcode.ShuttingDown, drainingRetryAfter)
+				return placement.Choice{}, false
+			}
 			delay := max(min(decision.Delay, f.placement.TimeLeft), minPickDelay)
 			f.placement.Ticket = decision.Ticket
 			if !ctxsleep.SleepOrSignal(ctx, delay, ready(decision.Ticket)) {
@@ -114,6 +118,13 @@
 	f.placement.MaxOutputTokens = f.outputTokensLeft()
 }
 
+// mustStopWaiting reports whether the request, which waits for an endpoint, is rejected because the process is shutting
+// down: another proxy can serve it at once, and here it could still wait when the process exits. A request that may have
+// run goes on waiting, since it can't be rejected.
+func (f *forwarder) mustStopWaiting() bool {
+	return f.server.rejecting.Load() && !f.mayHaveRun && !f.stream.started
+}
+
 // outputTokensLeft returns the most tokens of the response that the client has not received yet.
 func (f *forwarder) outputTokensLeft() int {
 	service, known := f.table.Service(f.service)
