Late webhooks go by their deadline, not the youngest first

What callers saw: after an outage, webhooks that could still be delivered in their time were given up, while younger ones that had more time left were sent.

Change: the one with the least time left goes first; if the buffer is full, the one with the most time left is rejected, as its caller can still try elsewhere.

--- a/webhook/policy/constants.go
+++ b/webhook/policy/constants.go
@@ -2,7 +2,7 @@
 
 import "rowanlink/internal/backoff"
 
-// Tuned values. docs/design.md has the trade-off behind each of them, and how sensitive the results are to it.
+// Parameters of the policy. docs/design.md has the trade-off behind each of them, and how sensitive the results are to it.
 
 // Backoff and time-outs. The first two are shares of the shorter of TTL and deduplication window.
 const (
--- a/webhook/policy/priority.go
+++ b/webhook/policy/priority.go
@@ -13,8 +13,9 @@
 	overQuotaClasses = 2
 )
 
-// priorityClass ranks a webhook by the value that its delivery can still have. A deduplicated webhook that may have run
-// counts as on time, since it becomes a dead letter when its deduplication window ends.
+// priorityClass ranks a webhook by whether its caller can still get what it asked for: a delivery within the latency
+// target, within its tenant's quota. A deduplicated webhook that may have run counts as on time, since it becomes a dead
+// letter when its deduplication window ends.
 func (p *Policy) priorityClass(w *webhook) int {
 	class := onTimeClass
 	expiring := w.mayHaveRunAt != never && w.eventType.Semantics == api.Deduplicated
@@ -28,8 +29,8 @@
 }
 
 // comparePriority orders webhooks for sending, most urgent first. Within a class, webhooks that are on time are ordered
-// by targetAt, earliest first. Late webhooks are ordered youngest first: all of them lose value alike, so if not all
-// can be delivered, the oldest are given up.
+// by targetAt, late ones by their deadline, earliest first: as many as possible are delivered before their time is up. If
+// not all can be, those with the most time left are rejected first, since their callers can still try elsewhere.
 func (p *Policy) comparePriority(a, b *webhook) int {
 	classA, classB := p.priorityClass(a), p.priorityClass(b)
 	if classA != classB {
@@ -42,13 +43,15 @@
 		return cmp.Compare(routeA.meanLatency, routeB.meanLatency)
 	}
 	if classA%overQuotaClasses == lateClass {
-		return cmp.Compare(b.targetAt, a.targetAt)
+		return cmp.Compare(a.deadline, b.deadline)
 	}
 	return cmp.Compare(a.targetAt, b.targetAt)
 }
 
 // checkOrdering has an ordered webhook wait until all earlier webhooks of its ordering key have ended and have no
-// attempt in flight. Its first attempt also waits for the pause that follows an attempt that may still run.
+// attempt in flight. Its first attempt also waits for the pause that follows an attempt that may still run: one of an
+// earlier webhook, which must not overtake it. Later on, only its own attempts may still run, and they can't be out of
+// order with themselves.
 func (p *Policy) checkOrdering(w *webhook) stageResult {
 	if !w.eventType.Ordered || w.orderingKey == 0 {
 		return proceed
--- a/webhook/policy/submission.go
+++ b/webhook/policy/submission.go
@@ -54,8 +54,8 @@
 	p.sequences[w.orderingKey] = s
 }
 
-// exceedsQuota counts a webhook against its tenant's quota and reports whether it exceeds the quota. Such webhooks have
-// little value, whenever they are delivered.
+// exceedsQuota counts a webhook against its tenant's quota and reports whether it exceeds the quota. Such webhooks rank
+// below those of tenants that keep to theirs (the users' brief ranks traffic beyond a tenant's share so).
 func (p *Policy) exceedsQuota(id api.TenantID) bool {
 	if int(id) >= len(p.quotas) {
 		return false
