--- a/serving/retry/policy.go
+++ b/serving/retry/policy.go
@@ -15,9 +15,8 @@
 	"rowanlink/serving/routing"
 )
 
-// Parameters of the backoff. Latency targets are a few hundred milliseconds. With a unit of 20 ms the first backoff is
-// 10 ms on average, so that a request whose endpoint has failed still meets its target, and from the sixth on a backoff
-// can reach the upper bound. While a service stays unavailable, the bound of 400 ms limits each request to about three
+// Parameters of the backoff. With a unit of 20 ms the first backoff is 10 ms on average, little beside a call, and from
+// the sixth on a backoff can reach the upper bound. While a service stays unavailable, the bound of 400 ms limits each request to about three
 // retries a second.
 const (
 	backoffUnit = 20 * time.Millisecond
--- a/webhook/policy/load_shedding.go
+++ b/webhook/policy/load_shedding.go
@@ -2,8 +2,8 @@
 
 import "slices"
 
-// shedLoad keeps the buffer from filling up. While the buffer is filled beyond maxBufferFill, the least valuable
-// webhooks of the destination with the longest queue are rejected, so that webhooks for other destinations are still
+// shedLoad keeps the buffer from filling up. While the buffer is filled beyond maxBufferFill, the webhooks
+// of lowest priority of the destination with the longest queue are rejected, so that webhooks for other destinations are still
 // accepted.
 func (p *Policy) shedLoad() {
 	p.exemptFromShedding = min(p.exemptFromShedding, p.unanswered)
@@ -11,7 +11,7 @@
 	p.updateShedding(limit)
 	for p.unanswered > limit && len(p.backlogged) > 0 {
 		d := slices.MaxFunc(p.backlogged, func(a, b *destination) int { return len(a.queue) - len(b.queue) })
-		victim := p.leastValuable(d)
+		victim := p.lowestPriority(d)
 		if victim == nil {
 			return
 		}
@@ -31,9 +31,9 @@
 	}
 }
 
-// leastValuable returns the queued webhook of lowest priority that can be rejected, or nil. A webhook can be rejected
+// lowestPriority returns the queued webhook of lowest priority that can be rejected, or nil. A webhook can be rejected
 // while no attempt may have run.
-func (p *Policy) leastValuable(d *destination) *webhook {
+func (p *Policy) lowestPriority(d *destination) *webhook {
 	var victim *webhook
 	for _, w := range d.queue {
 		if w.mayHaveRunAt == never && (victim == nil || p.comparePriority(victim, w) < 0) {
--- a/webhook/policy/priority_test.go
+++ b/webhook/policy/priority_test.go
@@ -26,5 +26,5 @@
 	assert.Equal(t, lateClass, s.priorityClass(younger))
 	assert.Negative(t, s.comparePriority(older, younger))
 	assert.Negative(t, s.comparePriority(onTime, older))
-	assert.Same(t, younger, s.leastValuable(older.destination))
+	assert.Same(t, younger, s.lowestPriority(older.destination))
 }
