Requests on split routes wait for the service they were drawn for; long queues poll rarely

What callers saw: a request on a split route was drawn anew at each poll, so that those that waited ended up at the service with free slots and the parts of a split didn't get their shares. Patient waiting made both this and the following weigh more: every request of a queue polled each 10 to 20 ms, a ticket of a disconnected client held its place until it expired, and the rank of a request moved with each new estimate of its call's duration.

Cause: Decision didn't name the service that a request waits for; the polling interval didn't depend on the place in the queue; newTicket ranked again.

Change: a decision to wait names the service, and the proxy passes it back. The interval grows with the place, up to 150 to 300 ms, as the end of a call signals whose turn it is. CancelWait gives the turn of a disconnected client to the next one. A ticket keeps its rank.

Evidence: TestWaitQueue_SplitRequestStaysWithItsService, TestWaitQueue_CanceledWait, TestForward_RetryHasNotWaited (service passed back).

--- a/serving/httpserver/buffered_test.go
+++ b/serving/httpserver/buffered_test.go
@@ -168,8 +168,9 @@
 // TestForward_RetryHasNotWaited: for the picker, a retry is like a first attempt, even if that had to wait.
 func TestForward_RetryHasNotWaited(t *testing.T) {
 	proxy := newTestProxy(t, respondWith(rejectedResponse), respondWith(okResponse))
-	proxy.picker.decisions = []placement.Decision{{Kind: placement.Wait, Delay: time.Millisecond}}
+	proxy.picker.decisions = []placement.Decision{{Kind: placement.Wait, Delay: time.Millisecond, Service: "plain"}}
 	assert.Equal(t, 200, proxy.do(proxy.request("/once/x", "")).status)
+	assert.Equal(t, "plain", proxy.picker.requests[1].Service, "the one that it waits for")
 	var waited []bool
 	for _, request := range proxy.picker.requests {
 		waited = append(waited, request.Waited)
--- a/serving/httpserver/forward.go
+++ b/serving/httpserver/forward.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -30,6 +31,7 @@
 	mayHaveRun      bool     // an endpoint may have run the request
 	lastOutcome     attempt.Outcome
 	service         string        // of the last attempt's endpoint
+	awaitedService  string        // of the last decision to wait
 	expectedStart   time.Duration // of the current attempt, until the first byte
 	// nextAttemptTime is the time that another attempt is expected to need, in nanoseconds, see mayAbandonAttempt.
 	nextAttemptTime atomic.Int64
@@ -92,13 +94,16 @@
 			}
 			return choice, true
 		case placement.Wait:
-			if f.mustStopWaiting() {
+			if f.mustStopWaiting() { // its ticket expires
 				f.reject(ctx, errcode.ShuttingDown, drainingRetryAfter)
 				return placement.Choice{}, false
 			}
 			delay := max(min(decision.Delay, f.placement.TimeLeft), minPickDelay)
-			f.placement.Ticket = decision.Ticket
+			f.placement.Ticket, f.awaitedService = decision.Ticket, decision.Service
 			if !ctxsleep.SleepOrSignal(ctx, delay, ready(decision.Ticket)) {
+				if decision.Ticket != nil {
+					f.server.options.Picker.CancelWait(time.Now(), decision.Ticket)
+				}
 				f.abortConnection(ctx)
 			}
 		default:
@@ -112,7 +117,7 @@
 func (f *forwarder) updatePlacement(now time.Time) {
 	f.placement.TimeLeft = f.deadline.Sub(now)
 	f.placement.QueuedFor = now.Sub(f.arrivedAt)
-	f.placement.Service = f.service
+	f.placement.Service = cmp.Or(f.service, f.awaitedService)
 	f.placement.TriedEndpoints = f.triedEndpoints
 	f.placement.Resumed = f.stream.started
 	f.placement.MaxOutputTokens = f.outputTokensLeft()
--- a/serving/httpserver/helpers_test.go
+++ b/serving/httpserver/helpers_test.go
@@ -65,6 +65,8 @@
 	return placement.Choice{}, placement.Decision{Kind: placement.Reject, Delay: 100 * time.Millisecond}
 }
 
+func (p *fakePicker) CancelWait(time.Time, *placement.Ticket) {}
+
 func (p *fakePicker) RetryAfter(time.Time, placement.Request) time.Duration { return p.retryAfter }
 
 func (p *fakePicker) ReportProgress(time.Time, placement.Reservation) {}
--- a/serving/httpserver/server.go
+++ b/serving/httpserver/server.go
@@ -32,6 +32,7 @@
 // *placement.Picker.
 type EndpointPicker interface {
 	Pick(now time.Time, request placement.Request) (placement.Choice, placement.Decision)
+	CancelWait(now time.Time, ticket *placement.Ticket)
 	RetryAfter(now time.Time, request placement.Request) time.Duration
 	ReportProgress(now time.Time, reservation placement.Reservation)
 	ReportOutcome(now time.Time, reservation placement.Reservation, outcome attempt.Outcome)
--- a/serving/placement/benchmark_test.go
+++ b/serving/placement/benchmark_test.go
@@ -29,3 +29,18 @@
 		w.update()
 	}
 }
+
+// BenchmarkPick_LongQueue measures the poll of a request that waits behind a thousand others.
+func BenchmarkPick_LongQueue(b *testing.B) {
+	w := newFixture(b, "e1", plainEndpoints("plain", "e1", "e2")...)
+	w.takeAllSlots("plain")
+	var last Request
+	for subject := range 1000 {
+		last = w.request("plain", subject)
+		last.TimeLeft += time.Duration(subject) * time.Millisecond
+		w.wait(b, &last)
+	}
+	for b.Loop() {
+		w.wait(b, &last)
+	}
+}
--- a/serving/placement/queueing.go
+++ b/serving/placement/queueing.go
@@ -12,8 +12,9 @@
 	// connectAllowanceDivisor divides the time that a client has; it gives a new attempt up if a proxy has not read it
 	// within the result, so a short request needs no longer connectAllowance.
 	connectAllowanceDivisor = 3
-	// slotPollInterval is the least time after which a request searches again for a free slot in a concurrency window,
-	// unless it is signaled before. Jitter makes it up to twice as long.
+	// slotPollInterval is the least time after which the first request of the queue searches again for a free slot in a
+	// concurrency window, unless it is signaled before. Jitter makes it up to twice as long. Each further request polls
+	// less often, so that a long queue takes little processor time.
 	slotPollInterval = 10 * time.Millisecond
 	// minPollInterval is the least time after which a request searches again for any reason.
 	minPollInterval = 2 * time.Millisecond
@@ -44,7 +45,8 @@
 	case s.lateQueueDelay != unknownDelay || s.retryIn > s.remainingQueueTime():
 		return p.reject(s)
 	}
-	return Decision{Kind: Wait, Delay: max(min(s.retryIn, maxPollInterval), minPollInterval)}
+	delay := max(min(s.retryIn, maxPollInterval), minPollInterval)
+	return Decision{Kind: Wait, Delay: delay, Service: s.service.name}
 }
 
 // waitForSlot queues a request for a free slot, or rejects it if it can't get one in time: then its client still has
@@ -53,13 +55,15 @@
 func (p *Picker) waitForSlot(s *candidateSearch, ticket *Ticket) Decision {
 	queue := &s.service.queue
 	queueTime := s.remainingQueueTime()
-	if queueTime < minPollInterval || s.shortestSlotDelay(queue.countAhead(ticket)) > queueTime {
+	ahead := queue.countAhead(ticket)
+	if queueTime < minPollInterval || s.shortestSlotDelay(ahead) > queueTime {
 		return p.reject(s)
 	}
-	delay := max(min(p.jitter(slotPollInterval), queueTime), minPollInterval)
+	interval := min(slotPollInterval*time.Duration(1+ahead), maxPollInterval/2)
+	delay := max(min(p.jitter(interval), queueTime), minPollInterval)
 	ticket.expiresAt = s.now.Add(delay + slotPollInterval)
 	queue.add(ticket)
-	return Decision{Kind: Wait, Delay: delay, Ticket: ticket}
+	return Decision{Kind: Wait, Delay: delay, Ticket: ticket, Service: s.service.name}
 }
 
 // reject rejects the request.
@@ -91,6 +95,17 @@
 	return expected
 }
 
+// CancelWait ends the wait of a request whose client has disconnected. The next one may take its turn.
+func (p *Picker) CancelWait(now time.Time, ticket *Ticket) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	service := ticket.search.service
+	service.queue.remove(ticket)
+	for _, e := range service.endpoints {
+		service.queue.wake(e, e.concurrencyLimit(now)-e.inFlight)
+	}
+}
+
 // RetryAfter returns after which time a client should send a request again that endpoints have rejected or not received.
 func (p *Picker) RetryAfter(now time.Time, request Request) time.Duration {
 	p.mutex.Lock()
--- a/serving/placement/request.go
+++ b/serving/placement/request.go
@@ -54,6 +54,8 @@
 	Delay time.Duration
 	// Ticket is the request's place in the queue for a free slot; nil: it waits for something else.
 	Ticket *Ticket
+	// Service is the one that a request waits for, see Request.Service.
+	Service string
 }
 
 // Choice is the endpoint that a request goes to.
--- a/serving/placement/wait_queue.go
+++ b/serving/placement/wait_queue.go
@@ -25,7 +25,10 @@
 
 // waitQueue holds the tickets of the requests that wait for a slot of one service, in the order in which they get one:
 // by priority, then by the time at which their call must begin (earliest deadline first), then by arrival.
-type waitQueue struct{ tickets []*Ticket }
+type waitQueue struct {
+	tickets   []*Ticket
+	droppedAt time.Time // when expired tickets were last removed
+}
 
 // compareTickets orders tickets.
 func compareTickets(a, b *Ticket) int {
@@ -40,12 +43,7 @@
 
 // add inserts a ticket behind those of equal rank.
 func (q *waitQueue) add(ticket *Ticket) {
-	index, _ := slices.BinarySearchFunc(q.tickets, ticket, func(known, added *Ticket) int {
-		if compareTickets(known, added) <= 0 {
-			return -1
-		}
-		return 1
-	})
+	index, _ := slices.BinarySearchFunc(q.tickets, ticket, compareToAdded)
 	q.tickets = slices.Insert(q.tickets, index, ticket)
 }
 
@@ -56,31 +54,36 @@
 	}
 }
 
-// dropExpired removes the tickets whose requests no longer wait, for instance because their clients have disconnected.
+// dropExpired removes the tickets whose requests no longer wait, once in slotPollInterval.
 func (q *waitQueue) dropExpired(now time.Time) {
+	if now.Sub(q.droppedAt) < slotPollInterval {
+		return
+	}
+	q.droppedAt = now
 	q.tickets = slices.DeleteFunc(q.tickets, func(t *Ticket) bool { return !now.Before(t.expiresAt) })
 }
 
-// countAhead returns how many tickets come before the given one or rank equally. The ticket itself isn't counted.
-func (q *waitQueue) countAhead(ticket *Ticket) (ahead int) {
-	for _, other := range q.tickets {
-		if compareTickets(other, ticket) > 0 {
-			break
-		}
-		if other != ticket {
-			ahead++
-		}
+// countAhead returns how many tickets come before the given one, which isn't in the queue, or rank equally.
+func (q *waitQueue) countAhead(ticket *Ticket) int {
+	index, _ := slices.BinarySearchFunc(q.tickets, ticket, compareToAdded)
+	return index
+}
+
+// compareToAdded orders a ticket of the queue before an added one of equal rank.
+func compareToAdded(known, added *Ticket) int {
+	if compareTickets(known, added) <= 0 {
+		return -1
 	}
-	return ahead
+	return 1
 }
 
 // mustYield reports whether a request that is not in the queue has to leave the endpoint to others that may use it too:
 // to any of higher priority and, unless slots are free for all of them, to those of the same priority that rank before it.
 func (q *waitQueue) mustYield(ticket *Ticket, e *endpoint, freeSlots func() int) bool {
-	ahead := 0
+	ahead, free := 0, 0
 	for _, other := range q.tickets {
 		if compareTickets(other, ticket) >= 0 {
-			break
+			return false
 		}
 		if !other.search.isUsable(e) {
 			continue
@@ -88,9 +91,14 @@
 		if other.search.priority < ticket.search.priority {
 			return true
 		}
-		ahead++
+		if ahead == 0 {
+			free = freeSlots()
+		}
+		if ahead++; ahead >= free {
+			return true
+		}
 	}
-	return ahead > 0 && ahead >= freeSlots()
+	return false
 }
 
 // wake signals the first requests that may use an endpoint, one for each of its free slots.
@@ -110,18 +118,20 @@
 	}
 }
 
-// newTicket returns the ticket of a search, which isn't in the queue yet. It is the request's earlier one if that was
-// issued for the same service.
+// newTicket returns the ticket of a search, which isn't in the queue yet. It is the request's earlier one, with the rank
+// that it had, if that was issued for the same service.
 func (s *candidateSearch) newTicket() *Ticket {
 	ticket := s.request.Ticket
 	if ticket == nil || ticket.search.service != s.service {
-		ticket = &Ticket{ready: make(chan struct{}, 1)}
+		ticket = &Ticket{
+			latestStart: s.now.Add(s.request.TimeLeft - s.shortestCallTime()),
+			arrivedAt:   s.now.Add(-s.request.QueuedFor),
+			ready:       make(chan struct{}, 1),
+		}
 	}
 	ticket.search, ticket.request = *s, *s.request
 	ticket.search.request = &ticket.request
 	ticket.request.Ticket = nil
-	ticket.latestStart = s.now.Add(s.request.TimeLeft - s.shortestCallTime())
-	ticket.arrivedAt = s.now.Add(-s.request.QueuedFor)
 	return ticket
 }
 
--- a/serving/placement/wait_queue_test.go
+++ b/serving/placement/wait_queue_test.go
@@ -122,6 +122,41 @@
 	assert.Empty(t, w.services["plain"].queue.tickets)
 }
 
+// TestWaitQueue_CanceledWait: when a client disconnects after its request was signaled, the next one is.
+func TestWaitQueue_CanceledWait(t *testing.T) {
+	w, taken := singleSlot(t)
+	gone, next := w.request("plain", 1), w.request("plain", 2)
+	w.wait(t, &gone)
+	w.wait(t, &next)
+	w.ReportOutcome(w.now, taken, attempt.Succeeded)
+	assert.True(t, signaled(gone))
+	assert.False(t, signaled(next))
+	w.CancelWait(w.now, gone.Ticket)
+	assert.True(t, signaled(next))
+}
+
+// TestWaitQueue_SplitRequestStaysWithItsService: a request on a split route that waits for one service isn't drawn again
+// for another one, so that the services get their shares.
+func TestWaitQueue_SplitRequestStaysWithItsService(t *testing.T) {
+	w := newFixture(t, "e1", append(plainEndpoints("plain", "e1"), plainEndpoints("other", "e1")...)...)
+	w.takeAllSlots("plain")
+	request := w.request("split", 0)
+	for {
+		choice, decision := w.Pick(w.now, request)
+		if decision.Kind == Wait {
+			require.Equal(t, "plain", decision.Service)
+			request.Ticket, request.Service = decision.Ticket, decision.Service
+			break
+		}
+		w.ReportOutcome(w.now, choice.Reservation, attempt.Succeeded)
+	}
+	for range 100 {
+		w.now = w.now.Add(20 * time.Millisecond)
+		_, decision := w.Pick(w.now, request)
+		require.Equal(t, Wait, decision.Kind)
+	}
+}
+
 // TestWaitQueue_TooLongToBeServed: behind more requests than can be served in its time, a request is rejected at once,
 // with its client's time left to go elsewhere.
 func TestWaitQueue_TooLongToBeServed(t *testing.T) {
