A high limit of tokens isn't taken for the tokens to come

Cause: the limit times the measured time per token; but a limit is the most, and clients set generous ones.

Change: the output is expected to take no longer than responses of the route usually do, whatever their limit.

--- a/serving/placement/estimate.go
+++ b/serving/placement/estimate.go
@@ -89,7 +89,7 @@
 	ownQueueDelay := service.prefillTime(found.tokensAhead) + e.expectedQueueDelay(s.now, s.priority)
 	found.queueDelay = max(ownQueueDelay, p.reportedQueueDelay(s.now, e))
 	found.firstByte = unqueued + found.queueDelay
-	found.callTime = found.firstByte + service.outputTime(s.now, s.request.MaxOutputTokens)
+	found.callTime = found.firstByte + service.outputTime(s.now, s.request.Route.Name, s.request.MaxOutputTokens)
 
 	sharedUncached := max(s.sharedTokens-cached, 0)
 	delayed := displacedWeight + len(e.awaitingFirstByte) // clients that wait longer, beside this request's own
