rowan-sim compare shows what is delivered in its time, not only the value

Change: it has the share delivered before the webhooks' time is up too, with its interval; new fields of the JSON form, at its end. Evidence: TestCompare.

--- a/cmd/rowan-sim/compare.go
+++ b/cmd/rowan-sim/compare.go
@@ -25,7 +25,8 @@
 		Use:   "compare FILE...",
 		Short: "Compare two policies, paired by seed",
 		Long: "Runs scenarios with two policies and the same seeds, so that both have the same arrivals, and\n" +
-			"prints the mean difference in value with its 95% bootstrap interval.",
+			"prints the mean difference in value, and in the share of webhooks delivered before their time\n" +
+			"was up, with their 95% bootstrap intervals.",
 		Example: "  rowan-sim compare examples/experiments/calm.toml --policy module --policy exponential --seeds 20",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
@@ -43,8 +44,8 @@
 	if len(o.policies) != 2 || o.seeds < 2 {
 		return errors.New("compare needs two policies, each by --policy, and two seeds or more")
 	}
-	_, _ = fmt.Fprintf(os.Stderr, "%-28s %8s %8s %8s  %-18s violated\n", "scenario", o.policies[0], o.policies[1], "diff",
-		"95% interval")
+	_, _ = fmt.Fprintf(os.Stderr, "%-28s %8s %8s %8s  %-18s %9s  %-18s violated\n", "scenario", o.policies[0], o.policies[1], "diff",
+		"95% interval", "delivered", "95% interval")
 	for _, file := range files {
 		if err := o.compare(to, file); err != nil {
 			return err
@@ -67,7 +68,7 @@
 	if o.asJSON {
 		return json.NewEncoder(to).Encode(r)
 	}
-	_, _ = fmt.Fprintf(to, "%-28s %8.4f %8.4f %+8.4f  %+.4f to %+.4f  %d, %d\n", r.Scenario, r.MeanA, r.MeanB, r.Diff,
-		r.Low, r.High, r.ViolatedA, r.ViolatedB)
+	_, _ = fmt.Fprintf(to, "%-28s %8.4f %8.4f %+8.4f  %+.4f to %+.4f %+9.4f  %+.4f to %+.4f  %d, %d\n", r.Scenario, r.MeanA, r.MeanB, r.Diff,
+		r.Low, r.High, r.DeliveredDiff, r.DeliveredLow, r.DeliveredHigh, r.ViolatedA, r.ViolatedB)
 	return nil
 }
--- a/sim/experiment/compare.go
+++ b/sim/experiment/compare.go
@@ -10,7 +10,8 @@
 	"rowanlink/sim/engine"
 )
 
-// Comparison compares two policies, paired by seed. Diff is the mean of A's value minus B's.
+// Comparison compares two policies, paired by seed. Diff is the mean of A's value minus B's. DeliveredDiff is the same of
+// the share of webhooks that were delivered before their time was up, which is what callers get.
 type Comparison struct {
 	Scenario  string    `json:"scenario"`
 	A         string    `json:"a"`
@@ -25,6 +26,12 @@
 	Diff      float64   `json:"diff"`
 	Low       float64   `json:"low"` // of the 95% interval of Diff
 	High      float64   `json:"high"`
+
+	DeliveredA    []float64 `json:"delivered_a"`
+	DeliveredB    []float64 `json:"delivered_b"`
+	DeliveredDiff float64   `json:"delivered_diff"`
+	DeliveredLow  float64   `json:"delivered_low"` // of the 95% interval of DeliveredDiff
+	DeliveredHigh float64   `json:"delivered_high"`
 }
 
 const (
@@ -50,22 +57,37 @@
 		}
 	}
 	c := &Comparison{Scenario: s.Name, A: a, B: b}
-	differences := make([]float64, n)
-	for i := range differences {
+	for i := range n {
 		c.add(uint64(i+1), results[2*i], results[2*i+1])
-		differences[i] = c.ValuesA[i] - c.ValuesB[i]
 	}
 	c.MeanA = stat.Mean(c.ValuesA, nil)
 	c.MeanB = stat.Mean(c.ValuesB, nil)
-	c.Diff = stat.Mean(differences, nil)
-	c.Low, c.High = bootstrapInterval(differences)
+	c.Diff, c.Low, c.High = meanDifference(c.ValuesA, c.ValuesB)
+	c.DeliveredDiff, c.DeliveredLow, c.DeliveredHigh = meanDifference(c.DeliveredA, c.DeliveredB)
 	return c, nil
 }
 
+// meanDifference returns the mean of the paired differences a[i]-b[i], and its 95% interval.
+func meanDifference(a, b []float64) (mean, low, high float64) {
+	differences := make([]float64, len(a))
+	for i := range differences {
+		differences[i] = a[i] - b[i]
+	}
+	low, high = bootstrapInterval(differences)
+	return stat.Mean(differences, nil), low, high
+}
+
+// deliveredShare returns the share of a run's webhooks that were delivered before their time was up.
+func deliveredShare(r *Result) float64 {
+	return float64(r.InTime+r.Late) / float64(max(r.Offered, 1))
+}
+
 func (c *Comparison) add(seed uint64, a, b *Result) {
 	c.Seeds = append(c.Seeds, seed)
 	c.ValuesA = append(c.ValuesA, a.Value)
 	c.ValuesB = append(c.ValuesB, b.Value)
+	c.DeliveredA = append(c.DeliveredA, deliveredShare(a))
+	c.DeliveredB = append(c.DeliveredB, deliveredShare(b))
 	if a.Violated() {
 		c.ViolatedA++
 	}
--- a/sim/experiment/sweep_test.go
+++ b/sim/experiment/sweep_test.go
@@ -84,8 +84,11 @@
 	assert.Positive(t, c.Low)
 	assert.LessOrEqual(t, c.Low, c.Diff)
 	assert.GreaterOrEqual(t, c.High, c.Diff)
+	assert.Positive(t, c.DeliveredLow, "more webhooks are delivered in their time with retries")
+	assert.LessOrEqual(t, c.DeliveredLow, c.DeliveredDiff)
 	same, err := Compare(s, DefaultPolicy, DefaultPolicy, 4, func() {})
 	require.NoError(t, err)
 	assert.Zero(t, same.Low)
 	assert.Zero(t, same.High)
+	assert.Zero(t, same.DeliveredDiff)
 }
