--- a/serving/placement/pick.go
+++ b/serving/placement/pick.go
@@ -65,7 +65,8 @@
 	return p.ensureService(name)
 }
 
-// previousService returns the service of the request's earlier attempts; empty if the route no longer names it.
+// previousService returns the service of the request's earlier attempts; empty if the route no longer names it. A retry
+// stays with its service, since each part of a split route gets its share of the requests (NEWS-22, "Duty").
 func (p *Picker) previousService(request *Request) string {
 	name := request.Service
 	if name == "" && len(request.TriedEndpoints) > 0 {
